--- /dev/null
+++ b/run.py
@@ -0,0 +1,15 @@
+"""Thin program on top of the library: `run.py --config FILE` serves one controller."""
+
+import os
+import sys
+
+_ROOT = os.path.dirname(os.path.abspath(__file__))
+sys.path[:0] = [os.path.join(_ROOT, "src"), os.path.join(_ROOT, "target", "deps")]
+
+from grebestand.cli import main  # noqa: E402
+
+if __name__ == "__main__":
+    arguments = sys.argv[1:]
+    if arguments and arguments[0] == "--config":
+        arguments = ["serve", *arguments]
+    sys.exit(main(arguments))
--- /dev/null
+++ b/src/grebestand/api.py
@@ -0,0 +1,270 @@
+"""The users' interface: submissions, polls, cancellations. Any controller serves it."""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from .budget import Urgency
+from .ledger import size_of
+from .placement import fits
+from .settings import Team
+from .state import StateClient, StateError, absent, at, delete, put
+from .wire import (
+    JOB_ID,
+    MAX_BODY,
+    JobAnswer,
+    JobSpec,
+    JobView,
+    Kind,
+    MachineType,
+    Malformed,
+    decode_spec,
+    peek_id,
+)
+
+log = logging.getLogger("grebestand.api")
+
+_json = msgspec.json.Encoder()
+TERMINAL_KEPT = 5000
+
+
+class LiveRecord(msgspec.Struct):
+    """The durable record of an accepted job."""
+
+    spec: JobSpec
+    at: float
+
+
+class OverRecord(msgspec.Struct):
+    """What stays of a job when it is over."""
+
+    state: JobView
+    tasks: int
+
+
+class CannotRun(ValueError):
+    """Well-formed, but it can never run: status 422."""
+
+
+class NotYet(Exception):
+    """Cannot be decided now: status 503."""
+
+
+@dataclass
+class Answer:
+    status: int
+    body: bytes = b""
+    retry_after: int | None = None
+    allow: str | None = None
+
+
+def live_key(ident: str) -> str:
+    return f"live/{ident}"
+
+
+def over_key(ident: str) -> str:
+    return f"over/{ident}"
+
+
+def _error(status: int, text: str, retry_after: int | None = None) -> Answer:
+    return Answer(status, _json.encode({"error": text}), retry_after)
+
+
+class Api:
+    def __init__(
+        self,
+        state: StateClient,
+        teams: list[Team],
+        zones: list[str],
+        value_bytes: int,
+        wall: Callable[[], float],
+        clock: Callable[[], float],
+        machine_types: Callable[[], list[MachineType] | None],
+        counts: Callable[[str], tuple[int, int]],
+    ) -> None:
+        self.state = state
+        self.teams = {t.name: t for t in teams}
+        self.zones = zones
+        self.value_bytes = value_bytes
+        self.wall = wall
+        self.clock = clock
+        self.machine_types = machine_types
+        self.counts = counts
+        self._over: OrderedDict[str, OverRecord] = OrderedDict()
+
+    # shared -----------------------------------------------------------------------------------------------
+
+    def remember(self, ident: str, record: OverRecord) -> None:
+        """Final states never change, so they may be answered from here."""
+        self._over[ident] = record
+        if len(self._over) > TERMINAL_KEPT:
+            self._over.popitem(last=False)
+
+    def _final(self, ident: str, urgency: Urgency) -> OverRecord | None:
+        known = self._over.get(ident)
+        if known is not None:
+            return known
+        found = self.state.get(over_key(ident), urgency)
+        if found is None:
+            return None
+        record = msgspec.convert(found.value, OverRecord)
+        self.remember(ident, record)
+        return record
+
+    def _lookup(self, ident: str, urgency: Urgency) -> tuple[JobView, int, int, int] | None:
+        """A job's state as of a moment after the question came, its counts, and its live record's version.
+
+        The live record is read first: a job on its way out is then found in one of the two places.
+        """
+        known = self._over.get(ident)
+        if known is None:
+            found = self.state.get(live_key(ident), urgency)
+            if found is not None:
+                done, running = self.counts(ident)
+                return (JobView.RUNNING if running else JobView.PENDING), done, running, found.version
+            known = self._final(ident, urgency)
+        if known is None:
+            return None
+        return known.state, (known.tasks if known.state is JobView.DONE else 0), 0, 0
+
+    @staticmethod
+    def _view(status: int, ident: str, state: JobView, done: int, running: int) -> Answer:
+        return Answer(status, _json.encode(JobAnswer(ident, state, done, running)))
+
+    # requests ---------------------------------------------------------------------------------------------
+
+    def submit(self, body: bytes) -> Answer:
+        if len(body) > MAX_BODY:
+            return _error(400, "the body is over 64 KiB")
+        try:
+            ident = peek_id(body)
+        except Malformed as e:
+            return _error(400, str(e))
+        try:
+            try:
+                spec = decode_spec(body)
+                record = _json.encode(LiveRecord(spec, self.wall()))
+                if len(record) > self.value_bytes:
+                    raise Malformed("the job's description is too large to be kept")
+                self.check_can_run(spec)
+            except (Malformed, CannotRun) as e:
+                # a repeat of an accepted job is known by its id, whatever else the body says
+                known = self._lookup(ident, Urgency.ACCEPT)
+                if known is not None:
+                    return self._view(200, ident, *known[:3])
+                return _error(422 if isinstance(e, CannotRun) else 400, str(e))
+            return self._accept(ident, spec, record)
+        except NotYet as e:
+            return _error(503, str(e), 1)
+        except StateError as e:
+            log.info("submission of %s not taken: %s", ident, e)
+            return _error(503, "the state service cannot be reached", 1)
+
+    def _accept(self, ident: str, spec: JobSpec, record: bytes) -> Answer:
+        if ident in self._over:
+            known = self._over[ident]
+            return self._view(200, ident, known.state, 0, 0)
+        end = self.clock() + 3.0
+        value = msgspec.Raw(record)
+        while True:
+            try:
+                _, failed = self.state.commit(
+                    [absent(live_key(ident)), absent(over_key(ident))],
+                    [put(live_key(ident), value)],
+                    Urgency.ACCEPT,
+                    timeout=min(1.5, max(0.3, end - self.clock())),
+                )
+            except StateError as e:
+                # without an answer it may be in or not; asking again with the same conditions settles it
+                if not e.maybe or self.clock() > end - 0.3:
+                    raise
+                continue
+            if not failed:
+                log.info("accepted %s: %s of %d tasks for %s", ident, spec.kind.name.lower(), spec.tasks, spec.team)
+                return self._view(201, ident, JobView.PENDING, 0, 0)
+            known2 = self._lookup(ident, Urgency.ACCEPT)
+            if known2 is None:
+                raise StateError("the job's record moved while it was read", maybe=True)
+            return self._view(200, ident, *known2[:3])
+
+    def check_can_run(self, spec: JobSpec) -> None:
+        team = self.teams.get(spec.team)
+        if team is None:
+            raise CannotRun("unknown team")
+        n = 1 if spec.kind is Kind.ARRAY else spec.tasks
+        if n * spec.cpus > team.cpus_max + 1e-6 or n * spec.gpus > team.gpus_max + 1e-6:
+            raise CannotRun("the job needs more than its team's limit")
+        types = self.machine_types()
+        if types is None:
+            raise NotYet("the machine types are not known yet")
+        size = size_of(spec)
+        for t in types:
+            if spec.types is not None and t.name not in spec.types:
+                continue
+            if spec.zone is not None and spec.zone not in t.zones:
+                continue
+            if fits(size, (int(t.cpus * 1e6), int(t.gpus * 1e6), int(t.memory_gb * 1e6))):
+                return
+        raise CannotRun("a task fits no allowed machine type")
+
+    def poll(self, ident: str) -> Answer:
+        if not JOB_ID.match(ident):
+            return _error(400, "malformed job id")
+        try:
+            known = self._lookup(ident, Urgency.POLL)
+        except StateError as e:
+            log.debug("poll of %s not answered: %s", ident, e)
+            return _error(503, "the state service cannot be reached", 1)
+        if known is None:
+            return _error(404, "no such job")
+        return self._view(200, ident, *known[:3])
+
+    def cancel(self, ident: str) -> Answer:
+        if not JOB_ID.match(ident):
+            return _error(400, "malformed job id")
+        end = self.clock() + 3.0
+        try:
+            while True:
+                known = self._lookup(ident, Urgency.ACCEPT)
+                if known is None:
+                    return _error(404, "no such job")
+                state, done, _, version = known
+                if state in (JobView.DONE, JobView.CANCELLED):
+                    return Answer(200, _json.encode(JobAnswer(ident, state)))
+                record = OverRecord(JobView.CANCELLED, done)
+                try:
+                    _, failed = self.state.commit(
+                        [at(live_key(ident), version), absent(over_key(ident))],
+                        [delete(live_key(ident)), put(over_key(ident), msgspec.to_builtins(record))],
+                        Urgency.ACCEPT,
+                    )
+                except StateError as e:
+                    if not e.maybe or self.clock() > end:
+                        raise
+                    continue
+                if not failed:
+                    self.remember(ident, record)
+                    log.info("cancelled %s", ident)
+                    return Answer(200, _json.encode(JobAnswer(ident, JobView.CANCELLED)))
+                if self.clock() > end:
+                    return _error(503, "the job changes too often", 1)
+        except StateError as e:
+            log.info("cancellation of %s not taken: %s", ident, e)
+            return _error(503, "the state service cannot be reached", 1)
+
+    def route(self, method: str, path: str, read: Callable[[], bytes]) -> Answer:
+        """Users' paths only; anything else is 404, and a wrong method 405."""
+        parts = path.split("?", 1)[0].strip("/").split("/")
+        if parts[:2] != ["v2", "runs"] or len(parts) > 4 or (len(parts) == 4 and parts[3] != "abort"):
+            return _error(404, "no such path")
+        want = "GET" if len(parts) == 3 else "POST"
+        if method != want:
+            return Answer(405, _json.encode({"error": f"use {want}"}), allow=want)
+        if len(parts) == 2:
+            return self.submit(read())
+        return self.poll(parts[2]) if len(parts) == 3 else self.cancel(parts[2])
--- /dev/null
+++ b/src/grebestand/fleet.py
@@ -0,0 +1,183 @@
+"""Machines: what each one is, holds and may hold, and which ones to rent or return."""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+
+from .ledger import Ledger, Place, micro_down
+from .machines import MACHINE_STEPS, MachineState, PlaceState, step
+from .placement import Amounts, Config, Pool, minus
+from .wire import MachineType
+
+#: steady clocks may drift apart by this much (the protocol's bound)
+DRIFT = 0.0005
+MARGIN_S = 1.0
+
+
+class Machine:
+    __slots__ = (
+        "accept", "addr", "blocked_until", "config", "doom_at", "drain", "empty_since", "error_jobs", "errors",
+        "exits", "given_at", "heard_at", "images", "index", "kind", "name", "places", "rank", "recorded",
+        "reserved_for", "reserved_until", "room", "seq", "session", "spot", "state", "token", "used", "zone",
+    )  # fmt: skip
+
+    def __init__(self, index: int, name: str, addr: str, kind: int, zone: int, spot: bool, now: float) -> None:
+        self.index = index
+        self.name = name
+        self.addr = addr
+        self.kind = kind
+        self.zone = zone
+        self.spot = spot
+        self.room: Amounts = (0, 0, 0)
+        self.used: Amounts = (0, 0, 0)
+        self.places: dict[tuple[str, int], Place] = {}
+        self.state = MachineState.NEW
+        self.recorded = False
+        self.session = 0
+        self.seq = 0
+        self.token = 0
+        self.heard_at = -math.inf
+        self.given_at = now
+        self.config: Config = ()
+        self.rank = 0
+        self.accept = False
+        self.reserved_for: str | None = None
+        self.reserved_until = -math.inf
+        self.blocked_until = -math.inf
+        self.errors = 0
+        self.error_jobs: set[str] = set()
+        self.drain: str | None = None
+        self.doom_at = math.inf
+        self.images: OrderedDict[int, float] = OrderedDict()
+        self.empty_since = now
+        self.exits = 0
+
+    @property
+    def free(self) -> Amounts:
+        return minus(self.room, self.used)
+
+    def slots_used(self, kind: int) -> int:
+        return sum(1 for p in self.places.values() if p.job.type == kind)
+
+
+class Fleet:
+    def __init__(self, ledger: Ledger, lease_s: float, report_s: float) -> None:
+        self.ledger = ledger
+        self.machines: list[Machine] = []
+        self.by_name: dict[str, Machine] = {}
+        self.kinds: dict[int, MachineType] = {}
+        self.lease_s = lease_s
+        self.report_s = report_s
+        self._by_index: dict[int, Machine] = {}
+        self._next_index = 0
+
+    def learn_types(self, types: list[MachineType]) -> None:
+        for t in types:
+            self.kinds[self.ledger.machine_types.index(t.name)] = t
+        for m in self.by_name.values():
+            self._measure(m)
+
+    def _measure(self, m: Machine) -> None:
+        kind = self.kinds.get(m.kind)
+        if kind is not None:
+            m.room = (micro_down(kind.cpus), micro_down(kind.gpus), micro_down(kind.memory_gb))
+
+    def add(self, name: str, addr: str, kind: str, zone: str, spot: bool, now: float) -> Machine:
+        ledger = self.ledger
+        m = Machine(self._next_index, name, addr, ledger.machine_types.index(kind), ledger.zones.index(zone), spot, now)
+        self._by_index[self._next_index] = m
+        self._next_index += 1
+        self._measure(m)
+        self.machines.append(m)
+        self.by_name[name] = m
+        return m
+
+    def at(self, index: int) -> Machine | None:
+        return self._by_index.get(index)
+
+    def move(self, m: Machine, new: MachineState, now: float) -> None:
+        """The one function that changes a machine's state. A lapsed or gone machine holds nothing."""
+        if m.state is new:
+            return
+        step(MACHINE_STEPS, m.state, new, m.name)
+        old, m.state = m.state, new
+        if new in (MachineState.LAPSED, MachineState.GONE):
+            self.release_all(m, now)
+            if m.reserved_for is not None:
+                m.reserved_for = None
+        elif new is MachineState.SUSPECT:
+            # decided but never sent: nobody else can have it
+            for place in [p for p in m.places.values() if p.state is PlaceState.QUEUED]:
+                self.release(m, place, now)
+        if new is MachineState.GONE:
+            self.machines.remove(m)
+            del self.by_name[m.name]
+            del self._by_index[m.index]
+        if MachineState.UNPROVED in (old, new):
+            self.count_unknown()
+        self.ledger.changed = True
+
+    def occupy(self, m: Machine, place: Place) -> None:
+        size = place.job.size
+        m.used = (m.used[0] + size[0], m.used[1] + size[1], m.used[2] + size[2])
+        m.places[(place.job.spec.id, place.index)] = place
+
+    def release(self, m: Machine, place: Place, now: float) -> None:
+        size = place.job.size
+        m.used = (m.used[0] - size[0], m.used[1] - size[1], m.used[2] - size[2])
+        del m.places[(place.job.spec.id, place.index)]
+        if not m.places:
+            m.empty_since = now
+        self.ledger.move_place(place, PlaceState.GONE, now)
+
+    def release_all(self, m: Machine, now: float) -> None:
+        for place in list(m.places.values()):
+            self.release(m, place, now)
+
+    def lease_over(self, m: Machine, now: float) -> bool:
+        """Whether the worker has killed its tasks by its own clock, at the latest."""
+        since = max(m.given_at, m.heard_at)
+        return now - since > self.lease_s * (1 + 2 * DRIFT) + MARGIN_S
+
+    def count_unknown(self) -> None:
+        """Unproved machines may run anything up to their size: each team's limit has to allow for it."""
+        cpu = sum(m.room[0] for m in self.machines if m.state is MachineState.UNPROVED)
+        gpu = sum(m.room[1] for m in self.machines if m.state is MachineState.UNPROVED)
+        for team in self.ledger.teams:
+            team.unknown = [cpu, gpu]
+
+    def unproved(self) -> list[Machine]:
+        return [m for m in self.machines if m.state is MachineState.UNPROVED]
+
+    def sweep_silence(self, now: float) -> list[Machine]:
+        """Notices who fell silent; returns the machines whose lease has just run out."""
+        lapsed = []
+        for m in list(self.machines):
+            if m.state is MachineState.READY and now - m.heard_at > 2.2 * self.report_s:
+                self.move(m, MachineState.SUSPECT, now)
+            if m.state in (MachineState.SUSPECT, MachineState.UNPROVED, MachineState.NEW) and self.lease_over(m, now):
+                self.move(m, MachineState.LAPSED, now)
+                lapsed.append(m)
+        return lapsed
+
+    def pool_of(self, m: Machine) -> Pool:
+        return Pool(m.kind, m.zone, m.spot, m.room)
+
+    def usable(self, m: Machine, now: float) -> bool:
+        return (
+            m.state is MachineState.READY
+            and m.recorded
+            and m.drain is None
+            and now >= m.blocked_until
+            and m.room != (0, 0, 0)
+        )
+
+    def note_image(self, m: Machine, image: int, gigabytes: float) -> None:
+        """Workers keep the most recently used images up to their cache size; this mirrors that guess."""
+        m.images[image] = gigabytes
+        m.images.move_to_end(image)
+        kind = self.kinds.get(m.kind)
+        limit = kind.cache_gb if kind else 0.0
+        while len(m.images) > 1 and sum(m.images.values()) > limit:
+            m.images.popitem(last=False)
--- /dev/null
+++ b/src/grebestand/http.py
@@ -0,0 +1,58 @@
+"""One JSON request to an outside service, with a limit on its whole duration.
+
+geventhttpclient keeps the connections; its own timeouts count from packet to packet, so a server that
+drips would hold a caller for ever without the outer limit here.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import gevent
+from gevent.exceptions import ConcurrentObjectUseError
+from geventhttpclient import HTTPClient
+
+
+class Unreachable(Exception):
+    """No answer: the request may have been executed, or may still be."""
+
+
+class Transport(Protocol):
+    """What the clients need of a network; tests hand in a fake."""
+
+    def request(self, method: str, path: str, body: bytes, timeout: float) -> tuple[int, bytes]: ...
+
+
+class HttpTransport:
+    def __init__(self, host: str, port: int, connections: int = 8, connect_s: float = 1.5) -> None:
+        self._client = HTTPClient(
+            host,
+            port=port,
+            concurrency=connections,
+            connection_timeout=connect_s,
+            network_timeout=70.0,
+            disable_ipv6=True,
+        )
+
+    def request(self, method: str, path: str, body: bytes, timeout: float) -> tuple[int, bytes]:
+        limit = gevent.Timeout(timeout)
+        limit.start()
+        try:
+            response = self._client.request(method, path, body)
+            data = bytes(response.read())
+            return int(response.status_code), data
+        except gevent.Timeout as e:
+            if e is not limit:
+                raise
+            raise Unreachable("timeout") from None
+        except (OSError, RuntimeError, ValueError, ConcurrentObjectUseError) as e:
+            raise Unreachable(str(e)) from e
+        except Exception as e:  # the parser's own errors have no common base
+            if type(e).__module__.startswith("geventhttpclient"):
+                raise Unreachable(str(e)) from e
+            raise
+        finally:
+            limit.close()
+
+    def close(self) -> None:
+        self._client.close()
--- /dev/null
+++ b/src/grebestand/leadership.py
@@ -0,0 +1,152 @@
+"""Who may give commands: the leader key, its hold, and the token.
+
+The key is attached to a hold; the revision that created the key is the token. Every write of the leader is
+conditional on that revision, so an old leader is fenced at the state service; workers fence it by the token.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from .budget import Urgency
+from .fleet import DRIFT
+from .machines import LEADER_STEPS, LeaderState, step
+from .state import HoldGone, StateClient, StateError, absent, at, delete, put
+
+log = logging.getLogger("grebestand.leadership")
+
+KEY = "leader"
+
+
+class LeaderValue(msgspec.Struct):
+    name: str
+
+
+class Fenced(Exception):
+    """This controller no longer leads."""
+
+
+class Leadership:
+    def __init__(self, name: str, state: StateClient, clock: Callable[[], float], ttl_s: float) -> None:
+        self.name = name
+        self.store = state
+        self.clock = clock
+        self.ttl_s = ttl_s
+        self.state = LeaderState.FOLLOWING
+        self.token = 0
+        self.hold = 0
+        self.authority_until = 0.0
+        self.renewed_at = 0.0
+        self.leader: str | None = None
+        self.retry_at = 0.0
+        self.on_move: Callable[[LeaderState, LeaderState], None] = lambda old, new: None
+
+    def move(self, new: LeaderState, why: str) -> None:
+        """The one function that changes what this controller is."""
+        if new is self.state:
+            return
+        step(LEADER_STEPS, self.state, new, self.name)
+        old, self.state = self.state, new
+        log.info("leadership: %s -> %s (token %d): %s", old.name, new.name, self.token, why)
+        self.on_move(old, new)
+
+    def entitled(self) -> bool:
+        """Whether commands and answers to workers may be given right now, by this controller's own clock."""
+        return self.state in (LeaderState.LOADING, LeaderState.LEADING) and self.clock() < self.authority_until
+
+    def check_clock(self) -> None:
+        if self.state in (LeaderState.LOADING, LeaderState.LEADING) and self.clock() >= self.authority_until:
+            self.move(LeaderState.PAUSED, "the hold could not be renewed in time")
+
+    # following --------------------------------------------------------------------------------------------
+
+    def look(self) -> None:
+        """One look at the key: learn who leads, or take the lead if nobody does."""
+        if self.state is LeaderState.RESIGNED and self.clock() >= self.retry_at:
+            self.move(LeaderState.FOLLOWING, "may lead again")
+        found = self.store.get(KEY, Urgency.TAKEOVER)
+        if found is not None:
+            value = msgspec.convert(found.value, LeaderValue)
+            if value.name != self.name:
+                self.leader = value.name
+                return
+            # its own name: whoever wrote it was an earlier run or term of this controller, and that has ended
+        if self.state is not LeaderState.FOLLOWING:
+            return
+        self.leader = None
+        self.campaign(found.version if found is not None else 0)
+
+    def campaign(self, version: int) -> None:
+        sent = self.clock()
+        hold = self.store.create_hold(int(self.ttl_s * 1000))
+        condition = at(KEY, version) if version else absent(KEY)
+        value = msgspec.to_builtins(LeaderValue(self.name))
+        try:
+            revision, failed = self.store.commit([condition], [put(KEY, value, hold)], Urgency.TAKEOVER)
+        except HoldGone:
+            return
+        if failed:
+            return
+        self.token, self.hold, self.leader = revision, hold, self.name
+        self._extend(sent)
+        self.move(LeaderState.LOADING, "took the key")
+
+    def _extend(self, sent: float) -> None:
+        # counted from when the request left, shortened by drift and the time an answer may sit in a queue here
+        self.renewed_at = self.clock()
+        self.authority_until = sent + self.ttl_s * (1 - 2 * DRIFT) - 0.2
+
+    # leading ----------------------------------------------------------------------------------------------
+
+    def renew(self) -> bool:
+        """Renews the hold; False if the state service could not be asked."""
+        if not self._in_term():
+            return False
+        hold, token = self.hold, self.token
+        sent = self.clock()
+        try:
+            self.store.touch(hold)
+            if self.state is LeaderState.PAUSED:
+                found = self.store.get(KEY, Urgency.HOLD)
+                if found is None or found.version != token:
+                    raise HoldGone("the key is another's")
+        except HoldGone as e:
+            if token == self.token:
+                self.lose(str(e))
+            return True
+        except StateError as e:
+            log.debug("hold not renewed: %s", e)
+            self.check_clock()
+            return False
+        if token == self.token and self._in_term():
+            self._extend(sent)
+        return True
+
+    def _in_term(self) -> bool:
+        return self.state in (LeaderState.LOADING, LeaderState.LEADING, LeaderState.PAUSED)
+
+    def lose(self, why: str) -> None:
+        if self._in_term():
+            self.authority_until = 0.0
+            self.leader = None
+            self.move(LeaderState.FOLLOWING, why)
+
+    def resign(self, why: str, pause_s: float) -> int:
+        """Ends the term here and now; the caller sees to the key. Returns the token given up."""
+        token = self.token
+        self.authority_until = 0.0
+        self.leader = None
+        self.retry_at = self.clock() + pause_s
+        self.move(LeaderState.RESIGNED, why)
+        return token
+
+    def clear_key(self, token: int) -> None:
+        """Removes the key of a term that its holder has declared over."""
+        self.store.commit([at(KEY, token)], [delete(KEY)], Urgency.TAKEOVER)
+
+    def guard(self) -> None:
+        if not self.entitled():
+            raise Fenced("not leading")
--- /dev/null
+++ b/src/grebestand/placement.py
@@ -0,0 +1,180 @@
+"""Greedy templates: the paper's GPA and CRA, over one or several pools of machines.
+
+Everything here is pure: amounts in, plans out. Amounts are integers (millionths of a CPU, of a card, of a
+gigabyte), so that adding and removing tasks never drifts.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+Amounts = tuple[int, int, int]
+Config = tuple[int, ...]
+
+MICRO = 1_000_000
+
+
+def fits(need: Amounts, room: Amounts) -> bool:
+    return need[0] <= room[0] and need[1] <= room[1] and need[2] <= room[2]
+
+
+def minus(a: Amounts, b: Amounts) -> Amounts:
+    return (a[0] - b[0], a[1] - b[1], a[2] - b[2])
+
+
+def plus(a: Amounts, b: Amounts) -> Amounts:
+    return (a[0] + b[0], a[1] + b[1], a[2] + b[2])
+
+
+def how_many(need: Amounts, room: Amounts) -> int:
+    """How many tasks of this size fit into the room."""
+    counts = [r // n for n, r in zip(need, room, strict=True) if n > 0]
+    return max(0, min(counts)) if counts else 0
+
+
+@dataclass(frozen=True)
+class Slot:
+    """What the algorithm knows of a task type."""
+
+    size: Amounts
+    payoff: float
+    spot: bool = True
+    machine_types: frozenset[int] | None = None
+    zone: int | None = None
+
+
+@dataclass(frozen=True)
+class Pool:
+    """Machines that are alike for every task type."""
+
+    machine_type: int
+    zone: int
+    spot: bool
+    room: Amounts
+
+    def takes(self, slot: Slot) -> bool:
+        return (
+            (slot.spot or not self.spot)
+            and (slot.machine_types is None or self.machine_type in slot.machine_types)
+            and (slot.zone is None or slot.zone == self.zone)
+            and fits(slot.size, self.room)
+        )
+
+
+def share(size: Amounts, room: Amounts) -> float:
+    """The largest part of a machine that one task takes of any resource."""
+    return max((s / r for s, r in zip(size, room, strict=True) if s > 0 and r > 0), default=0.0)
+
+
+def max_reward(slots: list[Slot], candidates: list[int], room: Amounts) -> Config:
+    """A configuration of high reward made of candidate types only (Definition 2.3, approximated).
+
+    The exact maximum is a knapsack. Here each candidate in turn is packed first, the others follow by payoff
+    for the share of the machine they take, and the best of these fillings wins; ties go to the lower index
+    (Definition 2.2).
+    """
+    density = sorted(candidates, key=lambda j: (-slots[j].payoff / max(share(slots[j].size, room), 1e-9), j))
+    best: Config = (0,) * len(slots)
+    best_reward = 0.0
+    for first in density:
+        counts = [0] * len(slots)
+        left = room
+        for j in (first, *density):
+            n = how_many(slots[j].size, left)
+            if n:
+                counts[j] += n
+                size = slots[j].size
+                left = (left[0] - n * size[0], left[1] - n * size[1], left[2] - n * size[2])
+        reward = sum(n * slots[j].payoff for j, n in enumerate(counts))
+        config = tuple(counts)
+        if reward > best_reward + 1e-9 or (abs(reward - best_reward) <= 1e-9 and config > best):
+            best, best_reward = config, reward
+    return best
+
+
+@dataclass
+class Wanted:
+    """One configuration of the plan, with the machines it should have in a pool."""
+
+    pool: int
+    config: Config
+    count: int
+
+
+def gpa(slots: list[Slot], targets: list[float], pools: list[Pool], sizes: list[int]) -> list[Wanted]:
+    """Greedy Placement Algorithm (Algorithm 1), for several pools.
+
+    In each round every pool that still has machines gets the highest-reward configuration of the types that
+    are left; machines are given until a type runs out, which is then dropped.
+    """
+    left = [max(0.0, t) for t in targets]
+    free = list(sizes)
+    candidates = [j for j in range(len(slots)) if left[j] > 0]
+    plan: list[Wanted] = []
+    while candidates and any(free):
+        configs = [
+            max_reward(slots, [j for j in candidates if pool.takes(slots[j])], pool.room) if free[p] else ()
+            for p, pool in enumerate(pools)
+        ]
+        rewards = [sum(n * slots[j].payoff for j, n in enumerate(c)) for c in configs]
+        p = max(range(len(pools)), key=lambda i: (rewards[i], -i))
+        config = configs[p]
+        if rewards[p] <= 0:
+            break
+        # the type that runs out first decides how many machines get this configuration
+        used = [j for j in candidates if config[j] > 0]
+        out = min(used, key=lambda j: (-(-left[j] // config[j]), j))
+        count = min(int(-(-left[out] // config[out])), free[p])
+        if count:
+            plan.append(Wanted(p, config, count))
+            free[p] -= count
+            for j in used:
+                left[j] = max(0.0, left[j] - count * config[j])
+        if left[out] <= 0:
+            candidates.remove(out)
+    return plan
+
+
+@dataclass
+class Seat:
+    """A machine as the classification sees it."""
+
+    pool: int
+    config: Config
+    empty: bool
+    rank: int = 0
+    accept: bool = False
+    changed: bool = False
+    zone: int = 0
+    tag: int = field(default=0)
+
+
+def cra(seats: list[Seat], plan: list[Wanted]) -> int:
+    """Classification and Reassignment (Algorithm 2): sets rank, group and, for empty machines, configuration.
+
+    Seats are in order of assignment: of the machines with one configuration the earlier ones have the higher
+    index, keep their rank first and so stay in the accept group. Returns the rank of the first configuration
+    short of its target.
+    """
+    worst = len(plan) + 1
+    for seat in seats:
+        seat.rank, seat.changed = worst, False
+    short = worst
+    for i, wanted in enumerate(plan, start=1):
+        mine = [s for s in seats if s.pool == wanted.pool and s.rank == worst and s.config == wanted.config]
+        for seat in mine[: wanted.count]:
+            seat.rank = i
+        lack = wanted.count - min(len(mine), wanted.count)
+        if not lack:
+            continue
+        later = {w.config for w in plan[i:] if w.pool == wanted.pool}
+        empty = [s for s in seats if s.pool == wanted.pool and s.rank == worst and s.empty]
+        # an empty machine whose configuration no later entry wants is the cheapest one to take
+        empty.sort(key=lambda s: s.config in later)
+        for seat in empty[:lack]:
+            seat.rank, seat.config, seat.changed = i, wanted.config, True
+        if lack > len(empty):
+            short = min(short, i)
+    for seat in seats:
+        seat.accept = seat.rank <= short and seat.rank < worst
+    return short
--- /dev/null
+++ b/src/grebestand/scheduler.py
@@ -0,0 +1,556 @@
+"""What runs where: targets and templates each period, placing on every change, preemption and migration.
+
+All of it is pure apart from the books: the clock comes in, decisions go into the ledger through the desk.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .fleet import Fleet, Machine
+from .ledger import Job, Ledger, Place, micro_down, payoff_rank
+from .machines import MachineState, PlaceState
+from .placement import (
+    Amounts,
+    Config,
+    Pool,
+    Seat,
+    Slot,
+    Wanted,
+    cra,
+    fits,
+    gpa,
+    how_many,
+    share,
+)
+from .settings import Objective
+from .wire import PRIORITIES, Kind
+from .workers import Desk
+
+log = logging.getLogger("grebestand.scheduler")
+
+#: a worker's report has to stay below 64 KiB
+MOST_PLACES = 400
+TYPE_MEMORY_S = 240.0
+RESERVE_S = 20.0
+
+
+@dataclass
+class Knobs:
+    """The policy's values of the moment."""
+
+    g: float
+    payoffs: tuple[float, float, float, float]
+    period_s: float
+    preempt_after_s: float
+    migrate: bool
+    lend_spare: bool
+
+
+@dataclass(frozen=True)
+class Shortage:
+    """Machines that the greedy plan would use beyond those there are."""
+
+    kind: int
+    spot: bool
+    count: int
+    zones: tuple[int, ...]
+
+
+class Scheduler:
+    def __init__(
+        self,
+        ledger: Ledger,
+        fleet: Fleet,
+        desk: Desk,
+        objectives: list[Objective],
+        knobs: Callable[[], Knobs],
+    ) -> None:
+        self.ledger = ledger
+        self.fleet = fleet
+        self.desk = desk
+        self.knobs_of = knobs
+        self.knobs = knobs()
+        self.retargeted_at = -math.inf
+        self.shortages: list[Shortage] = []
+        self.within: dict[str, list[float]] = {}
+        for o in objectives:
+            if o.kind == "finished" and o.klass and o.within_s:
+                self.within.setdefault(o.klass, []).append(o.within_s)
+
+    # targets and templates --------------------------------------------------------------------------------
+
+    def _targets(self, now: float) -> tuple[list[int], list[Slot], list[float], list[float]]:
+        """Active types, their slots, targets (running + waiting + g) and the bare need without g."""
+        counts: dict[int, float] = {}
+        for job in self.ledger.jobs.values():
+            if not job.live:
+                continue
+            self.ledger.types[job.type].seen_at = now
+            team = self.ledger.teams[job.team]
+            # what a team's limit keeps from running is no reason to reserve room
+            waiting = min(job.waiting(), team.headroom(job.size))
+            counts[job.type] = counts.get(job.type, 0) + len(job.places) + waiting
+        kinds = [i for i, t in enumerate(self.ledger.types) if i in counts or now - t.seen_at < TYPE_MEMORY_S]
+        kinds.sort(key=lambda i: (payoff_rank(self.ledger.types[i].priority), i))
+        room = self._typical_room()
+        slots = []
+        for i in kinds:
+            t = self.ledger.types[i]
+            payoff = self.knobs.payoffs[PRIORITIES.index(t.priority)]
+            slots.append(t.slot(payoff * max(share(t.size, room), 1e-6)))
+        need = [counts.get(i, 0.0) for i in kinds]
+        return kinds, slots, [n + self.knobs.g for n in need], need
+
+    def _typical_room(self) -> Amounts:
+        rooms = [m.room for m in self.fleet.machines if m.room != (0, 0, 0)]
+        return max(rooms) if rooms else (1_000_000, 1_000_000, 1_000_000)
+
+    def retarget(self, now: float) -> None:
+        """Targets, greedy plan, ranks and groups; only empty machines get another template."""
+        self.retargeted_at = now
+        self.knobs = self.knobs_of()
+        kinds, slots, targets, need = self._targets(now)
+        members = [m for m in self.fleet.machines if self._counts(m)]
+        zoned = any(s.zone is not None for s in slots)
+        pools: list[Pool] = []
+        pool_index: dict[Pool, int] = {}
+        seats: list[Seat] = []
+        width = len(self.ledger.types)
+        for m in members:
+            pool = Pool(m.kind, m.zone if zoned else -1, m.spot, m.room)
+            p = pool_index.setdefault(pool, len(pools))
+            if p == len(pools):
+                pools.append(pool)
+            if not m.config:
+                # the paper's initialisation: an unconfigured machine's template is what it holds
+                m.config = self._holdings(m, width)
+            config = tuple(m.config[k] if k < len(m.config) else 0 for k in kinds)
+            empty = not m.places and m.reserved_for is None
+            seats.append(Seat(p, config, empty, zone=m.zone, tag=m.index))
+        seats.sort(key=lambda s: (s.empty, s.tag))
+        sizes = [sum(1 for s in seats if s.pool == p) for p in range(len(pools))]
+        plan = gpa(slots, targets, pools, sizes)
+        cra(seats, plan)
+        by_index = {m.index: m for m in members}
+        for seat in seats:
+            m = by_index[seat.tag]
+            m.rank, m.accept = seat.rank, seat.accept
+            if seat.changed:
+                wide = [0] * width
+                for j, k in enumerate(kinds):
+                    wide[k] = seat.config[j]
+                m.config = tuple(wide)
+        self._measure_shortage(slots, need, targets, pools, sizes, zoned)
+        if self.knobs.migrate:
+            self._migrate(now)
+
+    def _counts(self, m: Machine) -> bool:
+        return m.state in (MachineState.READY, MachineState.SUSPECT) and m.recorded and m.drain is None and any(m.room)
+
+    def _holdings(self, m: Machine, width: int) -> Config:
+        wide = [0] * width
+        for place in m.places.values():
+            wide[place.job.type] += 1
+        return tuple(wide)
+
+    def _measure_shortage(
+        self,
+        slots: list[Slot],
+        need: list[float],
+        targets: list[float],
+        pools: list[Pool],
+        sizes: list[int],
+        zoned: bool,
+    ) -> None:
+        """Runs the greedy plan once more as if machines were for the asking: what is lacking is rented."""
+        wide_pools = list(pools)
+        known = {(p.machine_type, p.zone, p.spot) for p in pools}
+        for kind, t in self.fleet.kinds.items():
+            zones = [self.ledger.zones.index(z) for z in t.zones] if zoned else [-1]
+            room = next((p.room for p in pools if p.machine_type == kind), None)
+            if room is None:
+                room = (micro_down(t.cpus), micro_down(t.gpus), micro_down(t.memory_gb))
+            for zone in zones:
+                for spot in (False, True):
+                    if (kind, zone, spot) not in known:
+                        wide_pools.append(Pool(kind, zone, spot, room))
+        have = sizes + [0] * (len(wide_pools) - len(sizes))
+        plan: list[Wanted] = gpa(slots, targets, wide_pools, [n + 40 for n in have])
+        wanted = [0] * len(wide_pools)
+        for w in plan:
+            wanted[w.pool] += w.count
+        # machines of one pool stand in for another's where the types allow both: count over all pools
+        self.shortages = []
+        lack = sum(wanted) - sum(have)
+        if lack <= 0:
+            return
+        for p in sorted(range(len(wide_pools)), key=lambda p: wide_pools[p].spot):
+            pool = wide_pools[p]
+            usable = [s for s in slots if pool.takes(s)]
+            if not usable:
+                continue
+            offered = self.fleet.kinds.get(pool.machine_type)
+            if offered is None:
+                continue
+            zones_ok = tuple(self.ledger.zones.index(z) for z in offered.zones) if pool.zone < 0 else (pool.zone,)
+            self.shortages.append(Shortage(pool.machine_type, pool.spot, lack, zones_ok))
+
+    # placing ----------------------------------------------------------------------------------------------
+
+    def urgency(self, job: Job, now: float) -> tuple[object, ...]:
+        """Order of service: guarantees, then priority, then the least slack before the job's aim is missed."""
+        spec = job.spec
+        ratio = self.desk.run_ratio.get(spec.klass, 1.0)
+        limits = [job.accepted_at + w for w in self.within.get(spec.klass, ())]
+        if spec.deadline_s is not None:
+            limits.append(job.accepted_at + spec.deadline_s)
+        rest = spec.estimate_s * ratio
+        open_limits = [limit for limit in limits if limit - rest > now]
+        if limits and not open_limits:
+            # too late for every aim: still served, behind the ones that can make it, and it ages
+            late = max(limits) + 240.0
+            return (not job.guaranteed, payoff_rank(spec.priority), late, job.accepted_at)
+        slack_end = min(open_limits) - rest if open_limits else job.accepted_at + 120.0
+        return (not job.guaranteed, payoff_rank(spec.priority), slack_end, job.accepted_at)
+
+    def place(self, now: float) -> None:
+        self.ledger.rate_guarantees()
+        waiting = [j for j in self.ledger.waiting_jobs() if now >= j.hold_until and not j.needs_proof]
+        waiting.sort(key=lambda j: self.urgency(j, now))
+        if not waiting:
+            return
+        for m in self.fleet.machines:
+            if m.reserved_for is not None:
+                job = self.ledger.jobs.get(m.reserved_for)
+                if now >= m.reserved_until or job is None or not job.live or job.waiting() == 0:
+                    m.reserved_for = None
+        ready = [m for m in self.fleet.machines if self.fleet.usable(m, now)]
+        for job in waiting:
+            if job.gang:
+                self._place_gang(job, ready, now)
+            else:
+                self._place_tasks(job, ready, now)
+
+    def _allowed(self, job: Job, m: Machine) -> bool:
+        kinds = self.ledger.types[job.type].machine_types
+        return (
+            (job.spec.spot or not m.spot)
+            and (kinds is None or m.kind in kinds)
+            and (job.zone < 0 or job.zone == m.zone)
+            and (m.reserved_for is None or m.reserved_for == job.spec.id)
+            and (m.index not in job.avoid or not job.earned)
+        )
+
+    def _zone_counts(self, job: Job) -> dict[int, int]:
+        counts: dict[int, int] = {}
+        for place in job.places.values():
+            m = self.fleet.at(place.machine)
+            if m is not None:
+                counts[m.zone] = counts.get(m.zone, 0) + 1
+        return counts
+
+    def _slots_for(self, job: Job, m: Machine, blocked_types: set[int], now: float) -> int:
+        """How many of the job's tasks the machine takes now, by the paper's rules and our two additions."""
+        room = how_many(job.size, m.free)
+        if room <= 0:
+            return 0
+        room = min(room, MOST_PLACES - len(m.places))
+        if m.reserved_for == job.spec.id:
+            return room
+        if m.accept:
+            own = (m.config[job.type] if job.type < len(m.config) else 0) - m.slots_used(job.type)
+            if own > 0:
+                return min(room, own)
+            if not self.knobs.lend_spare:
+                return 0
+            # spare slots of other types may be borrowed while nobody of theirs waits, if their own type may
+            # take them back by preemption
+            mine = payoff_rank(self.ledger.types[job.type].priority)
+            for k, n in enumerate(m.config):
+                if n > 0 and k != job.type:
+                    higher = payoff_rank(self.ledger.types[k].priority) < mine
+                    if k in blocked_types or not higher:
+                        return 0
+            return room
+        return room if now - job.wait_since >= self.knobs.period_s or m.rank == 0 else 0
+
+    def _place_tasks(self, job: Job, ready: list[Machine], now: float) -> None:
+        want = min(job.waiting(), self.ledger.teams[job.team].headroom(job.size))
+        if want <= 0:
+            job.why_waiting = "team limit"
+            return
+        zones = self._zone_counts(job)
+        half = -(-job.spec.tasks // 2)
+        blocked = {j.type for j in self.ledger.waiting_jobs() if j is not job}
+        options = []
+        for m in ready:
+            if not self._allowed(job, m) or not fits(job.size, m.free):
+                continue
+            n = self._slots_for(job, m, blocked, now)
+            if n > 0:
+                options.append((self._preference(job, m), n, m))
+        options.sort(key=lambda o: o[0])
+        if job.spec.one_zone and options:
+            fixed = next(iter(zones), None)
+            if fixed is None:
+                by_zone: dict[int, int] = {}
+                for _, n, m in options:
+                    by_zone[m.zone] = by_zone.get(m.zone, 0) + n
+                fixed = max(by_zone, key=lambda z: by_zone[z])
+            options = [o for o in options if o[2].zone == fixed]
+        placed = 0
+        for _, n, m in options:
+            if job.spec.spread:
+                n = min(n, half - zones.get(m.zone, 0))
+            for _ in range(min(n, want - placed)):
+                index = job.take()
+                if index is None:
+                    return
+                self.desk.start(job, index, m, self.desk.next_attempt(), now)
+                zones[m.zone] = zones.get(m.zone, 0) + 1
+                placed += 1
+            if placed >= want:
+                break
+        if placed:
+            log.info("%s: %d tasks placed, %d wait", job.spec.id, placed, job.waiting())
+        if placed < want:
+            job.why_waiting = "no slot"
+            self._make_room(job, ready, want - placed, now)
+
+    def _preference(self, job: Job, m: Machine) -> tuple[object, ...]:
+        own = m.accept and job.type < len(m.config) and m.config[job.type] > m.slots_used(job.type)
+        cached = job.image in m.images
+        return (not own, not cached, not m.spot if job.spec.spot else m.spot, m.rank, -m.used[0], m.index)
+
+    def _place_gang(self, job: Job, ready: list[Machine], now: float) -> None:
+        """Whole or not at all: every task needs a slot at the same moment."""
+        n = job.spec.tasks
+        if job.places:
+            job.why_waiting = "tasks of the last attempt are not gone"
+            return
+        if self.ledger.teams[job.team].headroom(job.size) < n:
+            job.why_waiting = "team limit"
+            return
+        options = [m for m in ready if self._allowed(job, m) and fits(job.size, m.free)]
+        chosen = self._choose_gang(job, options, {m.index: how_many(job.size, m.free) for m in options})
+        if chosen is None:
+            job.why_waiting = "not all slots are free at once"
+            self._make_gang_room(job, ready, now)
+            return
+        attempt = self.desk.next_attempt()
+        index = 0
+        for m, count in chosen:
+            for _ in range(count):
+                self.desk.start(job, index, m, attempt, now)
+                index += 1
+            if m.reserved_for == job.spec.id:
+                m.reserved_for = None
+        log.info(
+            "gang %s: %d tasks placed after %.1f s on %s",
+            job.spec.id, n, now - job.accepted_at, ",".join(m.name for m, _ in chosen),
+        )  # fmt: skip
+
+    def _choose_gang(self, job: Job, options: list[Machine], rooms: dict[int, int]) -> list[tuple[Machine, int]] | None:
+        """Machines for a whole gang, in one zone or spread as its job demands."""
+        n = job.spec.tasks
+        ranked = sorted(options, key=lambda m: (m.reserved_for is None, *self._preference(job, m)))
+        zones = sorted({m.zone for m in ranked})
+        if job.spec.one_zone:
+            best: list[tuple[Machine, int]] | None = None
+            best_cost: tuple[int, int] | None = None
+            for zone in zones:
+                picked = self._pick([m for m in ranked if m.zone == zone], rooms, n, {})
+                if picked is None:
+                    continue
+                spare = sum(rooms[m.index] for m in ranked if m.zone == zone) - n
+                cost = (sum(job.image not in m.images for m, _ in picked), -spare)
+                if best_cost is None or cost < best_cost:
+                    best, best_cost = picked, cost
+            return best
+        limit = dict.fromkeys(zones, -(-n // 2)) if job.spec.spread else {}
+        return self._pick(ranked, rooms, n, limit)
+
+    @staticmethod
+    def _pick(
+        ranked: list[Machine], rooms: dict[int, int], n: int, limit: dict[int, int]
+    ) -> list[tuple[Machine, int]] | None:
+        left = n
+        picked: list[tuple[Machine, int]] = []
+        used: dict[int, int] = {}
+        for m in ranked:
+            count = min(rooms[m.index], left)
+            if limit:
+                count = min(count, limit[m.zone] - used.get(m.zone, 0))
+            if count > 0:
+                picked.append((m, count))
+                used[m.zone] = used.get(m.zone, 0) + count
+                left -= count
+            if left == 0:
+                return picked
+        return None
+
+    # preemption -------------------------------------------------------------------------------------------
+
+    def _may_displace(self, job: Job, victim: Place) -> bool:
+        """Only the protocol's cases: higher priority, or a guarantee against another team's borrowing."""
+        other = victim.job
+        if other is job or not other.live or victim.stop is not None:
+            return False
+        if payoff_rank(job.spec.priority) < payoff_rank(other.spec.priority):
+            return True
+        return job.guaranteed and not other.guaranteed and other.team != job.team and self._borrows(other)
+
+    def _borrows(self, job: Job) -> bool:
+        team = self.ledger.teams[job.team]
+        return team.used[0] > team.guaranteed[0] or team.used[1] > team.guaranteed[1]
+
+    def _loss(self, victim: Place, now: float) -> float:
+        """Machine time that stopping this task throws away, gangs counted whole."""
+        spec = victim.job.spec
+        if victim.run_at is None:
+            seconds = 1.0
+        elif spec.checkpoint_s > 0:
+            seconds = spec.save_s + 1.0
+        else:
+            seconds = now - victim.run_at
+        tasks = spec.tasks if victim.job.gang else 1
+        dearer = 3.0 if victim.job.guaranteed else 1.0
+        return dearer * tasks * (1.0 + seconds) * max(victim.job.size[0], 1) / 1e6
+
+    def _eviction(self, job: Job, m: Machine, tasks: int, now: float) -> tuple[list[Place], float] | None:
+        """The cheapest victims on one machine that free room for so many tasks, or None if none can."""
+        need = tuple(tasks * s for s in job.size)
+        room = list(m.free)
+        victims: list[Place] = []
+        cost = 0.0
+        leaving = [p for p in m.places.values() if p.stop is not None]
+        for place in leaving:
+            for i, s in enumerate(place.job.size):
+                room[i] += s
+        options = sorted((p for p in m.places.values() if self._may_displace(job, p)), key=lambda p: self._loss(p, now))
+        for place in options:
+            if all(r >= n for r, n in zip(room, need, strict=True)):
+                break
+            victims.append(place)
+            cost += self._loss(place, now)
+            for i, s in enumerate(place.job.size):
+                room[i] += s
+        if all(r >= n for r, n in zip(room, need, strict=True)):
+            return victims, cost
+        return None
+
+    def _displace(self, victims: list[Place], job: Job, now: float) -> None:
+        for victim in victims:
+            other = victim.job
+            grace = other.spec.save_s + 1.0 if other.spec.checkpoint_s > 0 else 0.0
+            log.info("%s/%d is stopped to make room for %s", other.spec.id, victim.index, job.spec.id)
+            if other.gang:
+                self.desk.stop_job(other, "preempted", grace, now)
+            else:
+                self.desk.stop(victim, "preempted", grace, now)
+
+    def _patient(self, job: Job, now: float) -> bool:
+        """Whether the job should go on waiting before anything is stopped for it."""
+        return now - job.wait_since < self.knobs.preempt_after_s or now - job.preempt_at < 1.0
+
+    def _make_gang_room(self, job: Job, ready: list[Machine], now: float) -> None:
+        if self._patient(job, now):
+            return
+        plans: dict[int, tuple[int, list[Place], float]] = {}
+        for m in ready:
+            if not self._allowed(job, m):
+                continue
+            most = how_many(job.size, m.room)
+            for tasks in range(min(most, job.spec.tasks), 0, -1):
+                found = self._eviction(job, m, tasks, now)
+                if found is not None:
+                    plans[m.index] = (tasks, *found)
+                    break
+        options = sorted(
+            (m for m in ready if m.index in plans),
+            key=lambda m: (m.reserved_for is None, plans[m.index][2] / plans[m.index][0], job.image not in m.images),
+        )
+        best: list[tuple[Machine, int]] | None = None
+        best_cost = math.inf
+        groups = (
+            [[m for m in options if m.zone == z] for z in sorted({m.zone for m in options})]
+            if job.spec.one_zone
+            else [options]
+        )
+        rooms = {i: plan[0] for i, plan in plans.items()}
+        for group in groups:
+            limit = {}
+            if job.spec.spread:
+                limit = dict.fromkeys({m.zone for m in group}, -(-job.spec.tasks // 2))
+            picked = self._pick(group, rooms, job.spec.tasks, limit)
+            if picked is None:
+                continue
+            cost = sum(plans[m.index][2] for m, _ in picked)
+            if cost < best_cost:
+                best, best_cost = picked, cost
+        if best is None:
+            job.why_waiting = "no zone can be cleared for the whole gang"
+            return
+        job.preempt_at = now
+        for m, _ in best:
+            m.reserved_for, m.reserved_until = job.spec.id, now + RESERVE_S
+            self._displace(plans[m.index][1], job, now)
+
+    def _make_room(self, job: Job, ready: list[Machine], tasks: int, now: float) -> None:
+        """Room for single tasks, where the protocol lets this job displace others."""
+        if self._patient(job, now):
+            return
+        headroom = tasks
+        options: list[tuple[float, Machine, list[Place]]] = []
+        for m in ready:
+            if not self._allowed(job, m) or m.reserved_for is not None:
+                continue
+            if any(p.stop is not None for p in m.places.values()):
+                continue
+            found = self._eviction(job, m, 1, now)
+            if found is not None and found[0]:
+                options.append((found[1], m, found[0]))
+        options.sort(key=lambda o: o[0])
+        for _, m, victims in options[: max(1, min(headroom, 8))]:
+            job.preempt_at = now
+            m.reserved_for, m.reserved_until = job.spec.id, now + 8.0
+            self._displace(victims, job, now)
+
+    # migration --------------------------------------------------------------------------------------------
+
+    def _migrate(self, now: float) -> None:
+        """Moves checkpointed work from the highest-rank reject machine into an empty accept slot of its type."""
+        waiting = {j.type for j in self.ledger.waiting_jobs()}
+        moving = sum(1 for m in self.fleet.machines for p in m.places.values() if p.stop == "migration")
+        empty: dict[int, int] = {}
+        for m in self.fleet.machines:
+            if m.accept and self.fleet.usable(m, now) and m.reserved_for is None:
+                for k, n in enumerate(m.config):
+                    if n:
+                        empty[k] = empty.get(k, 0) + max(0, n - m.slots_used(k))
+        rejected = sorted(
+            (m for m in self.fleet.machines if not m.accept and m.rank and self.fleet.usable(m, now)),
+            key=lambda m: -m.rank,
+        )
+        for m in rejected:
+            for place in list(m.places.values()):
+                if moving >= 2:
+                    return
+                spec = place.job.spec
+                movable = spec.kind is Kind.SERVICE or (spec.checkpoint_s > 0 and spec.kind is Kind.ARRAY)
+                fresh = place.run_at is None or now - place.run_at < 2 * spec.save_s
+                if (
+                    movable
+                    and not fresh
+                    and place.state is PlaceState.RUNNING
+                    and place.stop is None
+                    and place.job.type not in waiting
+                    and empty.get(place.job.type, 0) > 0
+                ):
+                    empty[place.job.type] -= 1
+                    moving += 1
+                    self.desk.stop(place, "migration", spec.save_s + 1.0, now)
--- /dev/null
+++ b/src/grebestand/term.py
@@ -0,0 +1,656 @@
+"""One term of a leader: loads the records, proves what runs, writes progress, rents and returns machines.
+
+Every method is one step of a loop that `controller` runs; tests call them directly with a fake clock.
+"""
+
+from __future__ import annotations
+
+import base64
+import contextlib
+import logging
+import math
+from collections.abc import Callable
+
+import msgspec
+
+from .api import Api, LiveRecord, OverRecord, live_key, over_key
+from .budget import Urgency
+from .cloud import CloudClient, NoCapacity
+from .fleet import Fleet, Machine
+from .http import Unreachable
+from .leadership import KEY, Fenced, Leadership
+from .ledger import Job, Ledger
+from .machines import JobState, LeaderState, MachineState
+from .policy import Policy
+from .scheduler import Knobs, Scheduler
+from .settings import Settings
+from .state import StateClient, StateError, TooOld, at, delete, put
+from .wire import (
+    Change,
+    Command,
+    Condition,
+    DirectOrders,
+    Elsewhere,
+    Event,
+    JobView,
+    ListedMachine,
+    Orders,
+    RentRequest,
+    Report,
+)
+from .workers import Desk
+
+log = logging.getLogger("grebestand.term")
+
+#: sends a direct order to a worker's address: (addr, path, body) -> (status, body)
+Direct = Callable[[str, str, bytes], tuple[int, bytes]]
+
+PROGRESS_AGE_S = 1.5
+LIST_S = 5.0
+
+
+class MachineRecord(msgspec.Struct):
+    type: str
+    zone: str
+    spot: bool
+    addr: str
+
+
+class RentRecord(msgspec.Struct):
+    type: str
+    zone: str
+    spot: bool
+    count: int
+
+
+class ProgressRecord(msgspec.Struct):
+    bits: str
+
+
+class Expected(msgspec.Struct):
+    """A machine rented but not heard of yet."""
+
+    type: str
+    zone: str
+    spot: bool
+    since: float
+
+
+class Term:
+    def __init__(
+        self,
+        settings: Settings,
+        policy: Policy,
+        leadership: Leadership,
+        state: StateClient,
+        cloud: CloudClient,
+        direct: Direct,
+        clock: Callable[[], float],
+        wall: Callable[[], float],
+        api: Api,
+    ) -> None:
+        self.settings = settings
+        self.policy = policy
+        self.leadership = leadership
+        self.token = leadership.token
+        self.state = state
+        self.cloud = cloud
+        self.direct = direct
+        self.clock = clock
+        self.wall = wall
+        self.api = api
+        self._new_books()
+        self.started_at = clock()
+        self.heard_worker_at = clock()
+        self.first_heard = False
+
+    def _new_books(self) -> None:
+        """Empty books: loading starts from these, also when it has to start again."""
+        p, policy = self.settings.params, self.policy
+        self.ledger = Ledger(p.teams, p.zones)
+        self.fleet = Fleet(self.ledger, p.workers.lease_s, p.workers.report_s)
+        names = self._names()
+        self.desk = Desk(self.ledger, self.fleet, self.token, int(policy.value("sick_errors", names)))
+        self.ledger.type_bound = int(policy.value("type_bound", names))
+        # a chunk of progress has to fit a value with its quotes and braces, in base64
+        self.ledger.chunk_bits = 8 * max(16, min(8192, int((p.state.value_kb * 1024 - 128) * 3 / 4)))
+        self.scheduler = Scheduler(self.ledger, self.fleet, self.desk, p.objectives, self._knobs)
+        self.loaded = False
+        self.proved = False
+        self.watched = 0
+        self.prog_keys: dict[str, set[int]] = {}
+        self.orphans: set[str] = set()
+        self.expected: dict[str, Expected] = {}
+        self.refused_until: dict[tuple[int, int, bool], float] = {}
+        self.refusals: dict[tuple[int, int, bool], int] = {}
+        self.unlisted: dict[str, int] = {}
+        self.returning: set[str] = set()
+        self.listed_pending: dict[str, Expected] = {}
+        self.listed_at = -math.inf
+        self.rents = 0
+        self.old_rents: dict[str, RentRecord] = {}
+        self.fencing: set[int] = set()
+
+    def _names(self) -> dict[str, float]:
+        p = self.settings.params
+        fleet = getattr(self, "fleet", None)
+        return {
+            "machines": max(1.0, float(len(fleet.machines) if fleet else 1)),
+            "types": max(1.0, float(len(self.ledger.types))),
+            "zones": float(len(p.zones)),
+            "teams": float(len(p.teams)),
+            "controllers": float(p.nodes),
+            "report_s": p.workers.report_s,
+            "lease_s": p.workers.lease_s,
+            "cancel_s": p.workers.cancel_s,
+            "gang_wait_s": p.workers.gang_wait_s,
+            "gang_peer_s": p.workers.gang_peer_s,
+        }
+
+    def _knobs(self) -> Knobs:
+        names = self._names()
+        v = self.policy.value
+        return Knobs(
+            g=math.ceil(v("g", names)),
+            payoffs=(
+                v("payoff_production", names),
+                v("payoff_high", names),
+                v("payoff_normal", names),
+                v("payoff_low", names),
+            ),
+            period_s=v("period_s", names),
+            preempt_after_s=v("preempt_after_s", names),
+            migrate=bool(v("migrate", names)),
+            lend_spare=bool(v("lend_spare", names)),
+        )
+
+    # writes -----------------------------------------------------------------------------------------------
+
+    def commit(self, conditions: list[Condition], changes: list[Change], urgency: Urgency) -> list[str]:
+        """A leader's write: it fails as a whole once another term has begun. Returns the failed keys."""
+        if not self.leadership.entitled() or self.leadership.token != self.token:
+            raise Fenced("not leading")
+        _, failed = self.state.commit([at(KEY, self.token), *conditions], changes, urgency)
+        if KEY in failed:
+            self.leadership.lose("another term has begun")
+            raise Fenced("another term has begun")
+        return failed
+
+    # loading ----------------------------------------------------------------------------------------------
+
+    def load(self) -> None:
+        """Reads all records. The watch starts at the revision before the first page, so nothing is missed."""
+        self._new_books()
+        now = self.clock()
+        types = self.api.machine_types()
+        if types:
+            self.fleet.learn_types(types)
+        for page in self.state.scan("m/"):
+            for pair in page.items:
+                record = msgspec.convert(pair.value, MachineRecord)
+                m = self.fleet.add(pair.key[2:], record.addr, record.type, record.zone, record.spot, now)
+                m.recorded = True
+                # it may hold tasks that only the last leader knew of
+                m.state = MachineState.UNPROVED
+                m.given_at = now
+        first = 0
+        for page in self.state.scan("live/"):
+            first = first or page.revision
+            for pair in page.items:
+                self._take_job(pair.value, pair.version, now)
+        for page in self.state.scan("prog/"):
+            for pair in page.items:
+                _, ident, chunk = pair.key.split("/")
+                job = self.ledger.jobs.get(ident)
+                if job is None:
+                    self.orphans.add(pair.key)
+                    continue
+                bits = base64.b64decode(msgspec.convert(pair.value, ProgressRecord).bits)
+                self.ledger.load_done(job, int(chunk) * self.ledger.chunk_bits // 8, bits)
+                self.prog_keys.setdefault(ident, set()).add(int(chunk))
+        for page in self.state.scan("rent/"):
+            for pair in page.items:
+                self.old_rents[pair.key[5:]] = msgspec.convert(pair.value, RentRecord)
+        self.watched = first
+        for job in list(self.ledger.jobs.values()):
+            job.needs_proof = True
+            if job.unfinished() == 0:
+                self.ledger.move_job(job, JobState.CLOSING, now)
+                self.desk.closing[job.spec.id] = job
+        self.fleet.count_unknown()
+        now = self.clock()
+        for m in self.fleet.machines:
+            m.given_at = now
+        self.heard_worker_at = now
+        self.loaded = True
+        counts = len(self.fleet.machines), len(self.ledger.jobs)
+        log.info("term %d: %d machines and %d live jobs on record", self.token, *counts)
+        self.check_proved(now)
+
+    def _take_job(self, value: object, version: int, now: float) -> None:
+        record = msgspec.convert(value, LiveRecord)
+        if record.spec.id in self.ledger.jobs:
+            return
+        age = min(max(0.0, self.wall() - record.at), 86400.0)
+        job = self.ledger.add(record.spec, version, now - age, now)
+        job.wait_since = now
+        # jobs accepted in this term cannot have been started by an earlier leader
+        job.needs_proof = not self.proved and version < self.token
+
+    def check_proved(self, now: float) -> None:
+        """Once no machine can hold a task unknown to this leader, older jobs' unseen tasks may run too."""
+        if self.proved or not self.loaded or self.fleet.unproved():
+            return
+        self.proved = True
+        self.fleet.count_unknown()
+        for job in self.ledger.jobs.values():
+            job.needs_proof = False
+            if job.gang and job.live and job.places and len(job.places) < job.spec.tasks:
+                # part of the gang is nowhere: what is left of the attempt can only wait in vain
+                self.desk.stop_job(job, "gang incomplete after takeover", 0.0, now)
+        log.info("term %d: all machines proved after %.1f s", self.token, now - self.started_at)
+        self.ledger.changed = True
+
+    def watch(self) -> None:
+        """Follows the live records: new jobs, and removals by whichever controller was asked to cancel."""
+        try:
+            events = self.state.changes("live/", self.watched, 5000)
+        except TooOld:
+            self._reread()
+            return
+        now = self.clock()
+        for event in events.events:
+            self._take_event(event, now)
+        self.watched = max(self.watched, events.revision)
+
+    def _take_event(self, event: Event, now: float) -> None:
+        if event.put is not None:
+            self._take_job(event.value, event.version, now)
+        elif event.delete is not None:
+            self._removed(event.delete[5:], now)
+
+    def _removed(self, ident: str, now: float) -> None:
+        job = self.ledger.jobs.get(ident)
+        if job is None or job.state is JobState.DONE:
+            return
+        if job.state is JobState.CLOSING:
+            return  # either this leader's own commit, or one that settles it by failing
+        log.info("%s was cancelled", ident)
+        self.desk.cancel(job, now)
+        self._orphan_progress(ident)
+
+    def _reread(self) -> None:
+        now = self.clock()
+        seen: set[str] = set()
+        first = 0
+        for page in self.state.scan("live/"):
+            first = first or page.revision
+            for pair in page.items:
+                seen.add(pair.key[5:])
+                self._take_job(pair.value, pair.version, now)
+        for ident in [i for i, j in self.ledger.jobs.items() if j.live and i not in seen and j.version <= first]:
+            self._removed(ident, now)
+        self.watched = first
+
+    def _orphan_progress(self, ident: str) -> None:
+        for chunk in self.prog_keys.pop(ident, set()):
+            self.orphans.add(f"prog/{ident}/{chunk}")
+
+    # proof ------------------------------------------------------------------------------------------------
+
+    def fence(self, m: Machine) -> None:
+        """Shows a machine this term's token directly; its answer proves what it holds."""
+        if m.index in self.fencing:
+            return
+        self.fencing.add(m.index)
+        try:
+            session = max(m.session, 1)
+            for _ in range(2):
+                body = msgspec.json.encode(DirectOrders(self.token, session, []))
+                try:
+                    status, answer = self.direct(m.addr, "/do", body)
+                    report = msgspec.json.decode(answer, type=Report)
+                except (Unreachable, msgspec.DecodeError):
+                    return
+                if not self.leadership.entitled() or self.leadership.token != self.token:
+                    return
+                if report.token > self.token:
+                    self.leadership.lose(f"{m.name} has seen a higher token")
+                    return
+                if status == 200 or report.token == self.token:
+                    self.take_direct(m, report)
+                    return
+                session = report.session
+        finally:
+            self.fencing.discard(m.index)
+
+    def take_direct(self, m: Machine, report: Report) -> None:
+        now = self.clock()
+        if report.machine == m.name:
+            self.desk.read(report, now, direct=True)
+            self.check_proved(now)
+
+    def order_stops(self, m: Machine) -> None:
+        """Stops that should not wait for the next report go straight to the worker."""
+        commands: list[Command] = self.desk.direct_stops(m)
+        if not commands or m.session == 0:
+            return
+        now = self.clock()
+        for place in m.places.values():
+            if place.stop is not None:
+                place.stop_sent_at = now
+        body = msgspec.json.encode(DirectOrders(self.token, m.session, commands))
+        try:
+            _, answer = self.direct(m.addr, "/do", body)
+            report = msgspec.json.decode(answer, type=Report)
+        except (Unreachable, msgspec.DecodeError) as e:
+            log.debug("%s cannot be told to stop: %s", m.name, e)
+            return
+        if self.leadership.entitled() and self.leadership.token == self.token:
+            self.take_direct(m, report)
+
+    # reports ----------------------------------------------------------------------------------------------
+
+    def checkin(self, report: Report) -> Orders | Elsewhere | None:
+        """The answer to a report; None while this controller may not answer."""
+        if not self.leadership.entitled() or self.leadership.token != self.token:
+            return None
+        if report.token > self.token:
+            self.leadership.lose(f"{report.machine} has seen a higher token")
+            return None
+        now = self.clock()
+        self.heard_worker_at, self.first_heard = now, True
+        if not self.loaded:
+            return Orders(self.token, [])
+        m = self.desk.read(report, now, direct=False)
+        if m is None:
+            # an old report: its worker has gone on and will drop this
+            return Orders(self.token, [])
+        self.expected.pop(m.name, None)
+        self.check_proved(now)
+        if m.state is MachineState.GONE:
+            return Orders(self.token, [])
+        self.step_schedule(now)
+        commands = self.desk.commands(m, report, now, direct=False)
+        m.given_at = now
+        return Orders(self.token, commands)
+
+    # scheduling -------------------------------------------------------------------------------------------
+
+    def step_schedule(self, now: float, force: bool = False) -> None:
+        if not self.loaded or self.leadership.state is not LeaderState.LEADING:
+            return
+        ledger = self.ledger
+        if now - self.scheduler.retargeted_at >= self.scheduler.knobs.period_s:
+            self.fleet.sweep_silence(now)
+            self.check_proved(now)
+            self.scheduler.retarget(now)
+            force = True
+        if ledger.changed or force:
+            ledger.changed = False
+            self.scheduler.place(now)
+            ledger.changed = False
+
+    # durable records --------------------------------------------------------------------------------------
+
+    def record_machines(self) -> None:
+        """A machine gets tasks only once a later leader is sure to know of it."""
+        new = [m for m in self.fleet.machines if not m.recorded and m.state is MachineState.NEW]
+        room = self.settings.params.state.txn_ops
+        for start in range(0, len(new), room):
+            batch = new[start : start + room]
+            changes = [put(f"m/{m.name}", msgspec.to_builtins(self._record_of(m))) for m in batch]
+            if self.commit([], changes, Urgency.TAKEOVER):
+                continue
+            now = self.clock()
+            for m in batch:
+                m.recorded = True
+                if m.state is MachineState.NEW:
+                    self.fleet.move(m, MachineState.READY, now)
+
+    def _record_of(self, m: Machine) -> MachineRecord:
+        names = self.ledger
+        return MachineRecord(names.machine_types.name(m.kind), names.zones.name(m.zone), m.spot, m.addr)
+
+    def close_jobs(self) -> None:
+        """Moves finished jobs from live to over, each in one transaction with its progress."""
+        for job in list(self.desk.closing.values()):
+            self._close(job)
+
+    def _close(self, job: Job) -> None:
+        ident = job.spec.id
+        record = OverRecord(JobView.DONE, job.spec.tasks)
+        changes = [delete(live_key(ident)), put(over_key(ident), msgspec.to_builtins(record))]
+        chunks = sorted(self.prog_keys.get(ident, set()))
+        fitting = chunks[: self.settings.params.state.txn_ops - len(changes)]
+        changes += [delete(f"prog/{ident}/{c}") for c in fitting]
+        failed = self.commit([at(live_key(ident), job.version), at(over_key(ident), 0)], changes, Urgency.DONE)
+        if failed:
+            # either an earlier try of this commit was carried out after all, or a user's cancellation won
+            found = self.state.get(over_key(ident), Urgency.DONE)
+            if found is None:
+                raise StateError(f"{ident} is neither live nor over", maybe=True)
+            record = msgspec.convert(found.value, OverRecord)
+            fitting = []
+        now = self.clock()
+        if job.state is JobState.CLOSING:
+            self.ledger.move_job(job, JobState.DONE if record.state is JobView.DONE else JobState.CANCELLED, now)
+        self.api.remember(ident, record)
+        self.desk.closing.pop(ident, None)
+        keys = self.prog_keys.get(ident)
+        if keys is not None:
+            keys.difference_update(fitting)
+        self._orphan_progress(ident)
+        self.ledger.drop_if_settled(job)
+        log.info("%s is %s, %.1f s after it was accepted", ident, record.state.value, now - job.accepted_at)
+
+    def save_progress(self) -> None:
+        """Writes done tasks of arrays in chunks, several in one transaction; only then may they be forgotten."""
+        now = self.clock()
+        due = [
+            (since, job, chunk)
+            for job in self.ledger.jobs.values()
+            if job.dirty and job.live
+            for chunk, since in job.dirty.items()
+            if now - since >= PROGRESS_AGE_S
+        ]
+        if not due:
+            return
+        due.sort(key=lambda d: d[0])
+        p = self.settings.params.state
+        bits = self.ledger.chunk_bits
+        batch: list[tuple[float, Job, int, bytes, str]] = []
+        size = 0
+        for since, job, chunk in due[: p.txn_ops]:
+            part = bytes(job.done[chunk * bits // 8 : (chunk + 1) * bits // 8])
+            text = base64.b64encode(part).decode("ascii")
+            size += len(text) + 200
+            if batch and size > 60_000:
+                break
+            batch.append((since, job, chunk, part, text))
+        conditions = list({j.spec.id: at(live_key(j.spec.id), j.version) for _, j, *_ in batch}.values())
+        changes = [
+            put(f"prog/{j.spec.id}/{c}", msgspec.to_builtins(ProgressRecord(text))) for _, j, c, _, text in batch
+        ]
+        for _, job, chunk, *_ in batch:
+            self.prog_keys.setdefault(job.spec.id, set()).add(chunk)
+        failed = self.commit(conditions, changes, Urgency.PROGRESS)
+        if failed:
+            # cancelled meanwhile: the watch will say so; the others are written without them
+            for _, job, *_ in batch:
+                if live_key(job.spec.id) in failed:
+                    job.dirty.clear()
+            return
+        for since, job, chunk, part, _ in batch:
+            offset = chunk * bits // 8
+            for i, byte in enumerate(part):
+                job.durable[offset + i] |= byte
+            if job.done[offset : offset + len(part)] == part and job.dirty.get(chunk) == since:
+                job.dirty.pop(chunk, None)
+            else:
+                job.dirty[chunk] = now
+
+    def clear_orphans(self) -> None:
+        batch = list(self.orphans)[: self.settings.params.state.txn_ops]
+        if batch:
+            self.commit([], [delete(k) for k in batch], Urgency.PROGRESS)
+            self.orphans.difference_update(batch)
+
+    # renting and returning --------------------------------------------------------------------------------
+
+    def step_fleet(self) -> None:
+        now = self.clock()
+        if not self.fleet.kinds:
+            types = self.api.machine_types()
+            if types is None:
+                return
+            self.fleet.learn_types(types)
+        self._replay_rents()
+        if now - self.listed_at >= LIST_S:
+            self._read_list(self.cloud.machines())
+            self.listed_at = now
+        self._return_machines()
+        if self.policy.value("rent", self._names()):
+            self._rent()
+
+    def _replay_rents(self) -> None:
+        """A request that an earlier leader may or may not have sent: repeating it settles it, under its name."""
+        for name, record in list(self.old_rents.items()):
+            self._rent_under(name, record)
+            del self.old_rents[name]
+
+    def _read_list(self, listed: list[ListedMachine]) -> None:
+        now = self.clock()
+        seen = set()
+        self.listed_pending = {}
+        dead: list[str] = []
+        lag = self.settings.params.cloud.list_lag_s
+        for entry in listed:
+            seen.add(entry.id)
+            m = self.fleet.by_name.get(entry.id)
+            kind = self.fleet.kinds.get(self.ledger.machine_types.find(entry.type) or 0)
+            boot = kind.boot_s if kind else 60.0
+            if entry.state == "failed":
+                dead.append(entry.id)
+            elif m is None and entry.id not in self.returning:
+                if entry.age_s > 5 * boot + 60 + 2 * lag:
+                    log.info("machine %s never came up", entry.id)
+                    dead.append(entry.id)
+                else:
+                    self.listed_pending[entry.id] = Expected(entry.type, entry.zone, entry.spot, now)
+            self.expected.pop(entry.id, None)
+        for name in [n for n, e in self.expected.items() if now - e.since > 4 * lag + 10]:
+            del self.expected[name]
+        limit = self.policy.value("dead_after_s", self._names())
+        for m in list(self.fleet.machines):
+            if m.state is not MachineState.LAPSED:
+                self.unlisted.pop(m.name, None)
+                continue
+            missing = self.unlisted.get(m.name, 0) + 1 if m.name not in seen else 0
+            self.unlisted[m.name] = missing
+            silent = now - max(m.heard_at, self.started_at)
+            if (missing >= 3 and silent > 3 * lag) or silent > limit:
+                log.info("machine %s is given up, silent for %.0f s", m.name, silent)
+                dead.append(m.name)
+        if dead:
+            self._remove(dead)
+
+    def _remove(self, names: list[str]) -> None:
+        """Deletes machines. Once the cloud has answered, they and all that was on them are gone."""
+        for start in range(0, len(names), 100):
+            batch = names[start : start + 100]
+            for name in batch:
+                self.returning.add(name)
+                m = self.fleet.by_name.get(name)
+                if m is not None and m.drain is None:
+                    m.drain = "return"
+            self.leadership.guard()
+            self.cloud.remove(batch)
+            now = self.clock()
+            keys = []
+            for name in batch:
+                m = self.fleet.by_name.get(name)
+                if m is not None:
+                    if m.recorded:
+                        keys.append(name)
+                    self.fleet.move(m, MachineState.GONE, now)
+                self.unlisted.pop(name, None)
+            self.check_proved(now)
+            self.orphans.update(f"m/{k}" for k in keys)
+            log.info("returned %s", ", ".join(batch))
+        if len(self.returning) > 2000:
+            self.returning.clear()
+
+    def _return_machines(self) -> None:
+        now = self.clock()
+        names = []
+        idle_s = self.policy.value("idle_return_s", self._names())
+        for m in self.fleet.machines:
+            if m.places or m.state not in (MachineState.READY, MachineState.LAPSED, MachineState.SUSPECT):
+                continue
+            idle = now - m.empty_since > idle_s and not self.scheduler.shortages and m.state is MachineState.READY
+            if m.drain in ("faulty", "return") or idle:
+                m.drain = m.drain or "return"
+                names.append(m.name)
+        if names:
+            self._remove(names[:100])
+
+    def _rent(self) -> None:
+        now = self.clock()
+        pending = len(self.expected) + sum(1 for n in self.listed_pending if n not in self.fleet.by_name)
+        allow_spot = bool(self.policy.value("rent_spot", self._names()))
+        for shortage in self.scheduler.shortages:
+            lack = shortage.count - pending
+            if lack <= 0 or (shortage.spot and not allow_spot):
+                continue
+            per_zone = {z: 0 for z in shortage.zones}
+            for m in self.fleet.machines:
+                if m.zone in per_zone:
+                    per_zone[m.zone] += 1
+            for zone in sorted(per_zone, key=lambda z: (per_zone[z], z)):
+                if self.refused_until.get((shortage.kind, zone, shortage.spot), 0.0) > now:
+                    continue
+                record = RentRecord(
+                    self.ledger.machine_types.name(shortage.kind),
+                    self.ledger.zones.name(zone),
+                    shortage.spot,
+                    min(lack, 10),
+                )
+                self._rent_under(f"r-{self.token}-{self.rents}", record)
+                self.rents += 1
+                return
+
+    def _rent_under(self, name: str, record: RentRecord) -> None:
+        """Rents under a name that is on record first: no later leader can use it for anything else."""
+        key = f"rent/{name}"
+        place = (
+            self.ledger.machine_types.index(record.type),
+            self.ledger.zones.index(record.zone),
+            record.spot,
+        )
+        if name not in self.old_rents:
+            self.commit([], [put(key, msgspec.to_builtins(record))], Urgency.PROGRESS)
+            self.old_rents[name] = record
+        self.leadership.guard()
+        now = self.clock()
+        got: list[str] = []
+        with contextlib.suppress(NoCapacity):
+            got = self.cloud.rent(RentRequest(name, record.type, record.zone, record.spot, record.count))
+        for machine in got:
+            if machine not in self.fleet.by_name:
+                self.expected[machine] = Expected(record.type, record.zone, record.spot, now)
+        if len(got) < record.count:
+            n = self.refusals[place] = min(self.refusals.get(place, 0) + 1, 3)
+            self.refused_until[place] = now + 10.0 * n
+        else:
+            self.refusals.pop(place, None)
+        kind = "spot" if record.spot else "ordinary"
+        log.info("rented %d of %d %s in %s (%s)", len(got), record.count, record.type, record.zone, kind)
+        self.old_rents.pop(name, None)
+        self.orphans.add(key)
+
+    # display ----------------------------------------------------------------------------------------------
+
+    def counts(self) -> dict[str, tuple[int, int]]:
+        jobs = self.ledger.jobs.items()
+        return {ident: (job.done_count, job.running()) for ident, job in jobs if job.places or job.done_count}
--- /dev/null
+++ b/src/grebestand/workers.py
@@ -0,0 +1,335 @@
+"""Dealings with workers: what a report proves, and which commands its answer carries."""
+
+from __future__ import annotations
+
+import logging
+
+from .fleet import Fleet, Machine
+from .ledger import Job, Ledger, Place
+from .machines import JobState, MachineState, PlaceState
+from .wire import Command, Kind, Malformed, Report, TaskReport, TaskStatus, Why, split_task, task_name
+
+log = logging.getLogger("grebestand.workers")
+
+_SEEN = {
+    TaskReport.FETCHING: PlaceState.FETCHING,
+    TaskReport.WAITING: PlaceState.WAITING,
+    TaskReport.RUNNING: PlaceState.RUNNING,
+    TaskReport.SAVING: PlaceState.SAVING,
+}
+
+#: how many attempts a leader can name under one token before it would run into the next one's
+ATTEMPTS_PER_TOKEN = 1 << 24
+
+#: a response line and a report body hold 64 KiB; this keeps both well below
+MOST_COMMANDS = 300
+
+
+class Desk:
+    """Reads reports into the books and writes the answers. Holds no I/O."""
+
+    def __init__(self, ledger: Ledger, fleet: Fleet, token: int, sick_errors: int = 3) -> None:
+        self.ledger = ledger
+        self.fleet = fleet
+        self.token = token
+        self.sick_errors = sick_errors
+        self.urgent: set[int] = set()
+        self.closing: dict[str, Job] = {}
+        self.run_ratio: dict[str, float] = {}
+        self._attempts = 0
+
+    def next_attempt(self) -> int:
+        """Unique among all leaders' attempts: the token never repeats, nor does the count below it."""
+        self._attempts += 1
+        return self.token * ATTEMPTS_PER_TOKEN + self._attempts
+
+    # placing and stopping ---------------------------------------------------------------------------------
+
+    def start(self, job: Job, index: int, m: Machine, attempt: int, now: float) -> Place:
+        place = self.ledger.open_place(job, index, m.index, attempt, now)
+        place.session = m.session
+        self.fleet.occupy(m, place)
+        return place
+
+    def stop(self, place: Place, why: str, grace: float, now: float) -> None:
+        """Asks for a task's end. What was never sent is simply taken back."""
+        m = self.fleet.at(place.machine)
+        if m is None or place.state is PlaceState.GONE:
+            return
+        if place.state is PlaceState.QUEUED:
+            self.fleet.release(m, place, now)
+            return
+        if place.stop is not None and grace >= place.grace:
+            return
+        place.stop, place.grace = why, grace
+        self.urgent.add(m.index)
+
+    def stop_job(self, job: Job, why: str, grace: float, now: float) -> None:
+        for place in list(job.places.values()):
+            self.stop(place, why, grace, now)
+
+    def cancel(self, job: Job, now: float) -> None:
+        """The cancellation is committed: nothing more starts, and what is anywhere is stopped."""
+        if job.state in (JobState.DONE, JobState.CANCELLED):
+            return
+        self.ledger.move_job(job, JobState.CANCELLED, now)
+        self.stop_job(job, "cancelled", 0.0, now)
+        self.ledger.drop_if_settled(job)
+
+    # reports ----------------------------------------------------------------------------------------------
+
+    def meet(self, r: Report, now: float) -> Machine:
+        m = self.fleet.by_name.get(r.machine)
+        if m is None:
+            m = self.fleet.add(r.machine, r.addr, r.type, r.zone, r.spot, now)
+            log.info("machine %s reports for the first time (%s, %s)", r.machine, r.type, r.zone)
+        return m
+
+    def read(self, r: Report, now: float, direct: bool) -> Machine | None:
+        """Takes a report into the books; None if a newer one is known already (it came late)."""
+        m = self.meet(r, now)
+        if (r.session, r.seq) <= (m.session, m.seq):
+            return None
+        m.addr = r.addr
+        new_session = r.session > m.session
+        m.session, m.seq, m.token = r.session, r.seq, max(m.token, r.token)
+        # only a report that was sent after the worker saw this token is proof: an older one may have been
+        # held up on the way while the last leader's command was carried out
+        fenced = r.token == self.token
+        if new_session:
+            # the lease ended in between: the worker killed and forgot all tasks of earlier sessions
+            for place in [p for p in m.places.values() if p.session < r.session]:
+                if place.state is PlaceState.QUEUED:
+                    place.session = r.session
+                else:
+                    self._lost(m, place, "lease ended", now)
+        if m.state is MachineState.LAPSED and (not direct or fenced):
+            self.fleet.move(m, MachineState.READY if m.recorded else MachineState.NEW, now)
+        elif m.state is MachineState.SUSPECT:
+            self.fleet.move(m, MachineState.READY, now)
+        m.heard_at = now
+        seen: set[tuple[str, int, int]] = set()
+        for status in r.tasks:
+            try:
+                ident, index = split_task(status.task)
+            except Malformed:
+                continue
+            seen.add((ident, index, status.attempt))
+            self._read_task(m, ident, index, status, now)
+        self._read_absent(m, r, seen, direct, now)
+        if fenced and m.state is MachineState.UNPROVED:
+            self.fleet.move(m, MachineState.READY, now)
+        if r.notice_s is not None and m.drain != "recall":
+            log.info("machine %s will be taken back in %.0f s", m.name, r.notice_s)
+            m.drain = "recall"
+            m.doom_at = now + r.notice_s
+            self.evacuate(m, now)
+        return m
+
+    def _read_absent(self, m: Machine, r: Report, seen: set[tuple[str, int, int]], direct: bool, now: float) -> None:
+        for key, place in list(m.places.items()):
+            if (*key, place.attempt) in seen or place.state is PlaceState.QUEUED:
+                continue
+            if place.state is PlaceState.SENT:
+                # a direct report may overtake the check-in response that carries the start, so only a newer
+                # check-in proves that the start was lost
+                newer = (r.session, r.seq) > (place.sent_session, place.sent_seq)
+                if direct or not newer:
+                    continue
+                if place.stop is not None or not place.job.live:
+                    self._lost(m, place, "never started", now)
+                else:
+                    self.ledger.move_place(place, PlaceState.SENT, now)
+                    place.sent_seq = -1  # send again
+                continue
+            self._lost(m, place, "vanished", now)
+
+    def _read_task(self, m: Machine, ident: str, index: int, status: TaskStatus, now: float) -> None:
+        job = self.ledger.jobs.get(ident)
+        place = m.places.get((ident, index))
+        if place is not None and place.attempt != status.attempt:
+            place = None
+        if status.state is TaskReport.EXITED:
+            if job is not None:
+                self._read_exit(m, job, index, place, status, now)
+            return
+        if job is None or index >= job.spec.tasks:
+            return  # answered with a stop in `commands`
+        if place is None:
+            other = job.places.get(index)
+            if other is None and job.live and not job.is_done(index):
+                place = self._adopt(m, job, index, status, now)
+            if place is None:
+                return
+        self.ledger.move_place(place, _SEEN[status.state], now)
+        if status.state is not TaskReport.FETCHING:
+            self.fleet.note_image(m, job.image, job.spec.image_gb)
+
+    def _adopt(self, m: Machine, job: Job, index: int, status: TaskStatus, now: float) -> Place:
+        """A task that an earlier leader started: it goes on."""
+        place = self.ledger.open_place(job, index, m.index, status.attempt, now)
+        place.session = m.session
+        self.fleet.occupy(m, place)
+        log.debug("found %s/%d on %s", job.spec.id, index, m.name)
+        return place
+
+    def _read_exit(self, m: Machine, job: Job, index: int, place: Place | None, status: TaskStatus, now: float) -> None:
+        if index >= job.spec.tasks:
+            return
+        why = status.why
+        if why is Why.DONE:
+            if place is not None and place.run_at is not None and job.spec.estimate_s > 0:
+                self._learn(job, now - place.run_at)
+            if place is not None:
+                self._ended(m, place, now)
+            m.errors = 0
+            m.error_jobs.clear()
+            self.finish_task(job, index, now)
+            return
+        if place is None:
+            return
+        if why is Why.BUSY:
+            # another attempt of this task is on this very machine: the report names it, and it is adopted
+            log.info("%s on %s: another attempt is there", status.task, m.name)
+        elif why is Why.ERROR:
+            self._failed(m, job, now)
+        elif why is Why.NO_ROOM:
+            # the machine holds something this leader does not count: look again after the next reports
+            log.info("%s refused by %s: no room", status.task, m.name)
+            m.blocked_until = max(m.blocked_until, now + self.fleet.report_s)
+        elif why is Why.UNKNOWN:
+            log.info("%s refused by %s: no such job there", status.task, m.name)
+            job.hold_until = max(job.hold_until, now + 2 * self.fleet.report_s)
+        elif why is Why.STOPPED and status.saved:
+            job.earned = True
+        elif why is Why.ALONE:
+            log.info("%s on %s: its gang did not become complete", status.task, m.name)
+        self._lost(m, place, why.value if why else "exited", now)
+
+    def _failed(self, m: Machine, job: Job, now: float) -> None:
+        """Tells faulty machines from faulty jobs: each gets fewer chances as its failures mount."""
+        job.errors += 1
+        job.avoid[m.index] = now
+        if len(job.avoid) > 64:
+            job.avoid.pop(next(iter(job.avoid)))
+        if not job.earned and len(job.avoid) >= 3:
+            # it failed on several machines and never got anywhere: the job's own mistake, most likely
+            job.hold_until = now + min(120.0, 2.0 ** min(job.errors, 7))
+            return
+        m.errors += 1
+        m.error_jobs.add(job.spec.id)
+        m.blocked_until = now + min(60.0, 2.0 * 2 ** min(m.errors, 5))
+        log.info("%s failed on %s (%d failures there in a row)", job.spec.id, m.name, m.errors)
+        if m.drain is None and m.errors >= self.sick_errors and len(m.error_jobs) >= 2:
+            log.warning("machine %s fails what it starts: it is drained and returned", m.name)
+            m.drain = "faulty"
+            self.evacuate(m, now)
+
+    def _learn(self, job: Job, seconds: float) -> None:
+        ratio = min(10.0, max(0.1, seconds / job.spec.estimate_s))
+        old = self.run_ratio.get(job.spec.klass, 1.0)
+        self.run_ratio[job.spec.klass] = old + 0.05 * (ratio - old)
+
+    def _ended(self, m: Machine, place: Place, now: float) -> None:
+        self.fleet.release(m, place, now)
+        self.ledger.drop_if_settled(place.job)
+
+    def _lost(self, m: Machine, place: Place, why: str, now: float) -> None:
+        """A place ended without completing its task."""
+        job = place.job
+        log.debug("%s/%d on %s ended: %s", job.spec.id, place.index, m.name, why)
+        was_queued = place.state is PlaceState.QUEUED
+        self._ended(m, place, now)
+        if job.gang and job.live and not was_queued and job.places:
+            # the rest of this attempt is of no use: their progress since the last checkpoint is lost anyway,
+            # and no task may start again before all of them are gone. An orderly stop goes on as it is.
+            for other in list(job.places.values()):
+                if other.attempt == place.attempt:
+                    if other.stop is None:
+                        self.stop(other, "gang broken", 0.0, now)
+                else:
+                    self.stop(other, "stale attempt", 0.0, now)
+
+    def finish_task(self, job: Job, index: int, now: float) -> None:
+        if not job.live:
+            return
+        if job.spec.kind is Kind.GANG:
+            # a gang completes together: if one task is done, all are
+            for i in range(job.spec.tasks):
+                self.ledger.mark_done(job, i, now)
+        elif not job.is_done(index):
+            self.ledger.mark_done(job, index, now)
+            job.dirty.setdefault(index // self.ledger.chunk_bits, now)
+        if job.unfinished() == 0:
+            self.ledger.move_job(job, JobState.CLOSING, now)
+            self.closing[job.spec.id] = job
+
+    def evacuate(self, m: Machine, now: float) -> None:
+        """Stops what is on a machine that is about to go, saving where there is something to save."""
+        for place in list(m.places.values()):
+            job = place.job
+            if not job.live:
+                continue
+            left = m.doom_at - now
+            saves = job.spec.checkpoint_s > 0 and left > job.spec.save_s
+            if not saves and place.run_at is not None:
+                expected = job.spec.estimate_s * self.run_ratio.get(job.spec.klass, 1.0)
+                if expected - (now - place.run_at) < left and m.drain == "recall":
+                    continue  # it may well complete before the machine goes
+            if m.drain == "faulty" and place.state is PlaceState.RUNNING:
+                continue  # what runs may run to its end
+            if job.gang:
+                self.stop_job(job, m.drain or "drain", job.spec.save_s + 1.0 if saves else 0.0, now)
+            else:
+                self.stop(place, m.drain or "drain", job.spec.save_s + 1.0 if saves else 0.0, now)
+
+    # answers ----------------------------------------------------------------------------------------------
+
+    def commands(self, m: Machine, r: Report, now: float, direct: bool) -> list[Command]:
+        """What the worker is told. Starts ride on check-in responses only, and only to recorded machines."""
+        out: list[Command] = []
+        for status in r.tasks:
+            try:
+                ident, index = split_task(status.task)
+            except Malformed:
+                continue
+            job = self.ledger.jobs.get(ident)
+            place = m.places.get((ident, index))
+            if status.state is TaskReport.EXITED:
+                if self._may_forget(job, index, status):
+                    out.append(Command("forget", status.task, status.attempt))
+            elif job is None or place is None or place.attempt != status.attempt:
+                # over, unknown, or a second copy: it must not stay
+                out.append(Command("stop", status.task, status.attempt, 0.0))
+            if len(out) >= MOST_COMMANDS:
+                return out
+        for place in list(m.places.values()):
+            name = task_name(place.job.spec.id, place.index)
+            if place.stop is not None:
+                # a repeat with the same grace changes nothing; only a grace of 0 cuts a save short
+                if not direct or now - place.stop_sent_at > 1.0:
+                    out.append(Command("stop", name, place.attempt, place.grace))
+                    place.stop_sent_at = now
+            elif direct or m.state is not MachineState.READY or not m.recorded:
+                continue
+            elif place.state is PlaceState.QUEUED or (place.state is PlaceState.SENT and place.sent_seq < 0):
+                self.ledger.move_place(place, PlaceState.SENT, now)
+                place.session = place.sent_session = r.session
+                place.sent_seq = r.seq
+                out.append(Command("start", name, place.attempt))
+            if len(out) >= MOST_COMMANDS:
+                break
+        return out
+
+    def _may_forget(self, job: Job | None, index: int, status: TaskStatus) -> bool:
+        if job is None or status.why is not Why.DONE or index >= job.spec.tasks:
+            return True
+        # a result is forgotten only once it is durable: until then the report is the only record of it
+        return job.state in (JobState.DONE, JobState.CANCELLED) or job.is_durable(index)
+
+    def direct_stops(self, m: Machine) -> list[Command]:
+        return [
+            Command("stop", task_name(p.job.spec.id, p.index), p.attempt, p.grace)
+            for p in m.places.values()
+            if p.stop is not None
+        ]
