--- a/src/grebestand/scheduler.py
+++ b/src/grebestand/scheduler.py
@@ -147,6 +147,33 @@
         self._measure_shortage(slots, need, targets, pools, sizes, zoned)
         if self.knobs.migrate:
             self._migrate(now)
+        self._explain(now)
+
+    def _explain(self, now: float) -> None:
+        """Tells a stranger reading the log why something waits."""
+        accept = sum(1 for m in self.fleet.machines if m.accept)
+        log.debug(
+            "%d machines, %d in the accept group, %d types, g %.0f",
+            len(self.fleet.machines),
+            accept,
+            len(self.ledger.types),
+            self.knobs.g,
+        )
+        for job in self.ledger.waiting_jobs():
+            if now - job.wait_since > 2 * self.knobs.period_s:
+                why = job.why_waiting
+                if job.needs_proof:
+                    why = "some machines have not proved what they hold"
+                elif now < job.hold_until:
+                    why = "its tasks failed lately"
+                log.info(
+                    "%s: %d of %d tasks wait, the job for %.0f s: %s",
+                    job.spec.id,
+                    job.waiting(),
+                    job.spec.tasks,
+                    now - job.accepted_at,
+                    why or "not yet tried",
+                )
 
     def _counts(self, m: Machine) -> bool:
         return m.state in (MachineState.READY, MachineState.SUSPECT) and m.recorded and m.drain is None and any(m.room)
@@ -400,8 +427,11 @@
         other = victim.job
         if other is job or not other.live or victim.stop is not None:
             return False
-        if payoff_rank(job.spec.priority) < payoff_rank(other.spec.priority):
-            return True
+        mine, theirs = payoff_rank(job.spec.priority), payoff_rank(other.spec.priority)
+        if mine != theirs:
+            # a guarantee never displaces higher priority: that work would displace it again in turn, and two
+            # jobs that take turns in stopping each other get nowhere
+            return mine < theirs
         return job.guaranteed and not other.guaranteed and other.team != job.team and self._borrows(other)
 
     def _borrows(self, job: Job) -> bool:
