--- a/src/grebestand/controller.py
+++ b/src/grebestand/controller.py
@@ -20,7 +20,7 @@
 from .leadership import Fenced, Leadership
 from .machines import LeaderState, MachineState
 from .peers import Hello, Peer, Resigned
-from .policy import Policy
+from .policy import VARIABLES, Policy
 from .settings import Settings, parse_address
 from .state import StateClient, StateError, put
 from .term import Term
@@ -79,10 +79,9 @@
             HttpTransport(host, port, 4), Budget(p.cloud.rps * 0.5, p.cloud.rps, self.clock, gevent.spawn_later)
         )
         self.types: list[MachineType] | None = None
-        names = {"machines": 1.0, "types": 1.0, "zones": float(len(p.zones)), "teams": float(len(p.teams)),
-                 "controllers": float(p.nodes), "report_s": p.workers.report_s, "lease_s": p.workers.lease_s,
-                 "cancel_s": p.workers.cancel_s, "gang_wait_s": p.workers.gang_wait_s,
-                 "gang_peer_s": p.workers.gang_peer_s}  # fmt: skip
+        names = {name: low for name, (low, _) in VARIABLES.items()}
+        names["lease_s"] = p.workers.lease_s
+        names["report_s"] = p.workers.report_s
         self.leadership = Leadership(settings.name, self.state, self.clock, policy.value("hold_s", names))
         self.leadership.on_move = self._moved
         self.api = Api(
--- a/src/grebestand/fleet.py
+++ b/src/grebestand/fleet.py
@@ -17,8 +17,8 @@
 
 class Machine:
     __slots__ = (
-        "accept", "addr", "blocked_until", "config", "doom_at", "drain", "empty_since", "error_jobs", "errors",
-        "exits", "given_at", "heard_at", "images", "index", "kind", "name", "places", "rank", "recorded",
+        "accept", "addr", "blocked_until", "config", "doom_at", "drain", "empty_since", "error_at", "error_jobs",
+        "errors", "given_at", "heard_at", "images", "index", "kind", "name", "places", "rank", "recorded",
         "reserved_for", "reserved_until", "room", "seq", "session", "spot", "state", "token", "used", "zone",
     )  # fmt: skip
 
@@ -46,12 +46,12 @@
         self.reserved_until = -math.inf
         self.blocked_until = -math.inf
         self.errors = 0
+        self.error_at = -math.inf
         self.error_jobs: set[str] = set()
         self.drain: str | None = None
         self.doom_at = math.inf
         self.images: OrderedDict[int, float] = OrderedDict()
         self.empty_since = now
-        self.exits = 0
 
     @property
     def free(self) -> Amounts:
--- a/src/grebestand/policy.py
+++ b/src/grebestand/policy.py
@@ -20,6 +20,7 @@
 #: names an expression may use, with the range that the program guarantees for each
 VARIABLES: dict[str, tuple[float, float]] = {
     "machines": (1.0, 1e6),
+    "busy": (0.0, 1e6),
     "types": (1.0, 1e4),
     "zones": (1.0, 1e4),
     "teams": (0.0, 1e6),
@@ -56,6 +57,7 @@
     "rent": Rule(0, 1, boolean=True),
     "rent_spot": Rule(0, 1, boolean=True),
     "idle_return_s": Rule(1, 1e9),
+    "keep_empty": Rule(0, 1e6),
     "dead_after_s": Rule(1, 1e9),
     "sick_errors": Rule(1, 1e6),
 }
--- a/src/grebestand/scheduler.py
+++ b/src/grebestand/scheduler.py
@@ -34,8 +34,9 @@
 
 #: a worker's report has to stay below 64 KiB
 MOST_PLACES = 400
-TYPE_MEMORY_S = 240.0
+TYPE_MEMORY_S = 60.0
 RESERVE_S = 20.0
+GANG_PROBATION_S = 30.0
 
 
 @dataclass
@@ -133,7 +134,7 @@
             seats.append(Seat(p, config, empty, zone=m.zone, tag=m.index))
         seats.sort(key=lambda s: (s.empty, s.tag))
         sizes = [sum(1 for s in seats if s.pool == p) for p in range(len(pools))]
-        plan = gpa(slots, targets, pools, sizes)
+        plan = self._plan(slots, need, targets, pools, sizes)
         cra(seats, plan)
         by_index = {m.index: m for m in members}
         for seat in seats:
@@ -175,6 +176,31 @@
                     why or "not yet tried",
                 )
 
+    @staticmethod
+    def _plan(
+        slots: list[Slot], need: list[float], targets: list[float], pools: list[Pool], sizes: list[int]
+    ) -> list[Wanted]:
+        """The greedy plan for what runs and waits, then spare slots from the machines that are left.
+
+        The paper adds g to every type before it shares out machines. With g in the first round a type that
+        came first held every machine as spares while another of the same payoff waited for ever.
+        """
+        plan = gpa(slots, need, pools, sizes)
+        left = list(sizes)
+        given = [0] * len(slots)
+        for w in plan:
+            left[w.pool] -= w.count
+            for j, n in enumerate(w.config):
+                given[j] += n * w.count
+        spare = [max(0.0, t - n) for t, n in zip(targets, given, strict=True)]
+        for w in gpa(slots, spare, pools, left):
+            same = next((x for x in plan if x.pool == w.pool and x.config == w.config), None)
+            if same is not None:
+                same.count += w.count
+            else:
+                plan.append(w)
+        return plan
+
     def _counts(self, m: Machine) -> bool:
         return m.state in (MachineState.READY, MachineState.SUSPECT) and m.recorded and m.drain is None and any(m.room)
 
@@ -286,6 +312,8 @@
         if room <= 0:
             return 0
         room = min(room, MOST_PLACES - len(m.places))
+        if m.errors:  # on probation: one task shows whether it works again, a full load would all be lost
+            room = min(room, 1 - len(m.places))
         if m.reserved_for == job.spec.id:
             return room
         if m.accept:
@@ -362,6 +390,8 @@
         if self.ledger.teams[job.team].headroom(job.size) < n:
             job.why_waiting = "team limit"
             return
+        # one bad machine would cost the whole gang its start
+        ready = [m for m in ready if not m.errors or now - m.error_at > GANG_PROBATION_S]
         options = [m for m in ready if self._allowed(job, m) and fits(job.size, m.free)]
         chosen = self._choose_gang(job, options, {m.index: how_many(job.size, m.free) for m in options})
         if chosen is None:
--- a/src/grebestand/term.py
+++ b/src/grebestand/term.py
@@ -136,6 +136,7 @@
         fleet = getattr(self, "fleet", None)
         return {
             "machines": max(1.0, float(len(fleet.machines) if fleet else 1)),
+            "busy": float(sum(1 for m in fleet.machines if m.places)) if fleet else 0.0,
             "types": max(1.0, float(len(self.ledger.types))),
             "zones": float(len(p.zones)),
             "teams": float(len(p.teams)),
@@ -517,7 +518,6 @@
         """A request that an earlier leader may or may not have sent: repeating it settles it, under its name."""
         for name, record in list(self.old_rents.items()):
             self._rent_under(name, record)
-            del self.old_rents[name]
 
     def _read_list(self, listed: list[ListedMachine]) -> None:
         now = self.clock()
@@ -582,18 +582,22 @@
             self.returning.clear()
 
     def _return_machines(self) -> None:
+        """Returns faulty machines once they are empty, and what has been idle beyond the plan and the cushion."""
         now = self.clock()
-        names = []
-        idle_s = self.policy.value("idle_return_s", self._names())
-        for m in self.fleet.machines:
-            if m.places or m.state not in (MachineState.READY, MachineState.LAPSED, MachineState.SUSPECT):
-                continue
-            idle = now - m.empty_since > idle_s and not self.scheduler.shortages and m.state is MachineState.READY
-            if m.drain in ("faulty", "return") or idle:
-                m.drain = m.drain or "return"
-                names.append(m.name)
-        if names:
-            self._remove(names[:100])
+        names = self._names()
+        idle_s = self.policy.value("idle_return_s", names)
+        settled = (MachineState.READY, MachineState.LAPSED, MachineState.SUSPECT)
+        empty = [m for m in self.fleet.machines if not m.places and m.state in settled]
+        going = [m for m in empty if m.drain in ("faulty", "return")]
+        idle = [m for m in empty if m.drain is None and m.state is MachineState.READY and not m.accept]
+        idle.sort(key=lambda m: m.empty_since)
+        surplus = max(0, len(idle) - math.ceil(self.policy.value("keep_empty", names)))
+        for m in idle[:surplus]:
+            if now - m.empty_since > idle_s:
+                m.drain = "return"
+                going.append(m)
+        if going:
+            self._remove([m.name for m in going[:100]])
 
     def _rent(self) -> None:
         now = self.clock()
--- a/src/grebestand/workers.py
+++ b/src/grebestand/workers.py
@@ -216,8 +216,10 @@
             # it failed on several machines and never got anywhere: the job's own mistake, most likely
             job.hold_until = now + min(120.0, 2.0 ** min(job.errors, 7))
             return
-        m.errors += 1
         m.error_jobs.add(job.spec.id)
+        if now - m.error_at > 1.0:  # tasks that fall together are one failure of the machine
+            m.errors += 1
+            m.error_at = now
         m.blocked_until = now + min(60.0, 2.0 * 2 ** min(m.errors, 5))
         log.info("%s failed on %s (%d failures there in a row)", job.spec.id, m.name, m.errors)
         if m.drain is None and m.errors >= self.sick_errors and len(m.error_jobs) >= 2:
--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,546 @@
+"""Short stories: what a leader does when something goes wrong."""
+
+from __future__ import annotations
+
+import json
+import time
+
+import pytest
+
+from grebestand.leadership import Fenced
+from grebestand.machines import JobState, LeaderState, MachineState, PlaceState
+from grebestand.state import put
+from grebestand.wire import Orders, Report, TaskReport, TaskStatus, Why
+from world import Node, Worker, World
+
+
+def view(node: Node, ident: str) -> str:
+    answer = node.api.poll(ident)
+    return str(json.loads(answer.body)["tide"]) if answer.status == 200 else str(answer.status)
+
+
+def start_world(n: int = 2) -> tuple[World, Node, list[Worker]]:
+    world = World()
+    workers = [world.worker(f"n-{i:06d}") for i in range(n)]
+    node = Node(world, "node-0")
+    node.lead()
+    assert node.term is not None
+    world.settle(node.term, 3)
+    return world, node, workers
+
+
+def successor(world: World, name: str) -> Node:
+    """Another controller takes over after the first one vanished."""
+    world.clock.now += 13.0
+    node = Node(world, name)
+    node.lead()
+    return node
+
+
+def test_an_accepted_job_runs_although_its_controller_crashed_at_once() -> None:
+    world, node, workers = start_world()
+    ident = str(json.loads(node.api.submit(world.job(shards=3)).body)["ref"])
+    again = successor(world, "node-1")
+    assert again.term is not None
+    for w in workers:
+        again.term.fence(again.term.fleet.by_name[w.name])
+    world.settle(again.term)
+    assert sum(len(w.running()) for w in workers) == 3
+    assert view(again, ident) == "pending"
+
+
+def test_takeover_waits_for_the_machine_it_cannot_reach() -> None:
+    """Guards against running a task twice: a silent machine may still run what the last leader gave it."""
+    world, node, (near, far) = start_world()
+    assert node.term is not None
+    ident = world.accept(node, shards=24, cpus=1.0)
+    world.settle(node.term)
+    held = set(far.running())
+    assert held and near.running()
+    far.reachable = False
+    again = successor(world, "node-1")
+    assert again.term is not None
+    world.settle(again.term, 2)
+    assert again.term.ledger.jobs[ident].needs_proof
+    assert not held & set(near.running())
+    # a job accepted in this term cannot be anywhere yet and need not wait
+    world.accept(again, shards=1, crew="red", cpus=0.5)
+    took_over = world.clock.now
+    while world.clock.now < took_over + 17.0:
+        world.settle(again.term, 1)
+        assert not held & set(near.running())
+    far.lapse()
+    world.settle(again.term, 8)
+    assert again.term.proved and not again.term.ledger.jobs[ident].needs_proof
+
+
+def test_team_limit_allows_for_what_an_unreachable_machine_may_run() -> None:
+    world, _node, (_, far) = start_world()
+    far.reachable = False
+    again = successor(world, "node-1")
+    assert again.term is not None
+    world.settle(again.term, 2)
+    ident = world.accept(again, shards=1, crew="red", cpus=1.0)
+    world.settle(again.term, 2)
+    # red may use 16 CPUs, and the silent machine has 16
+    assert not again.term.ledger.jobs[ident].places
+    world.settle(again.term, 25)
+    assert again.term.ledger.jobs[ident].places
+
+
+def test_a_result_survives_a_crash_before_it_was_written() -> None:
+    world, node, workers = start_world(1)
+    assert node.term is not None
+    ident = world.accept(node, shards=2)
+    world.settle(node.term)
+    workers[0].finish(f"{ident}/0")
+    orders = world.checkin(node.term, workers[0])
+    # not durable yet, so the worker keeps it
+    assert orders is not None and not [c for c in orders.commands if c.op == "forget"]
+    again = successor(world, "node-0")
+    assert again.term is not None
+    world.settle(again.term, 2)
+    assert again.term.ledger.jobs[ident].is_done(0)
+    world.settle(again.term, 3)
+    assert f"{ident}/0" not in workers[0].tasks
+    assert workers[0].started.count((f"{ident}/0", workers[0].started[0][1])) == 1
+
+
+def test_done_is_told_only_after_the_commit_and_stays_done() -> None:
+    world, node, (w,) = start_world(1)
+    assert node.term is not None
+    ident = world.accept(node)
+    world.settle(node.term)
+    w.finish(f"{ident}/0")
+    world.checkin(node.term, w)
+    assert view(node, ident) != "done"
+    node.term.close_jobs()
+    assert view(node, ident) == "done"
+    assert ident not in node.term.ledger.jobs
+    fresh = Node(world, "node-9")
+    assert fresh.api.submit(world.job(ref=ident)).status == 200
+    assert json.loads(fresh.api.cancel(ident).body)["tide"] == "done"
+
+
+def test_done_against_cancelled_is_settled_by_the_store() -> None:
+    world, node, (w,) = start_world(1)
+    assert node.term is not None
+    ident = world.accept(node)
+    world.settle(node.term)
+    w.finish(f"{ident}/0")
+    world.checkin(node.term, w)
+    other = Node(world, "node-1")
+    assert json.loads(other.api.cancel(ident).body)["tide"] == "cancelled"
+    node.term.close_jobs()
+    assert view(node, ident) == "cancelled"
+    assert not node.term.desk.closing
+
+
+def test_closing_goes_on_after_a_lost_answer() -> None:
+    world, node, (w,) = start_world(1)
+    assert node.term is not None
+    ident = world.accept(node)
+    world.settle(node.term)
+    w.finish(f"{ident}/0")
+    world.checkin(node.term, w)
+    world.state.lose_answers = 1
+    with pytest.raises(Exception, match="lost"):
+        node.term.close_jobs()
+    node.term.close_jobs()
+    assert view(node, ident) == "done"
+
+
+def test_acceptance_is_settled_by_asking_again_when_the_answer_is_lost() -> None:
+    world, node, _ = start_world(1)
+    world.state.lose_answers = 1
+    assert node.api.submit(world.job()).status == 200
+    assert len([k for k in world.state.data if k.startswith("live/")]) == 1
+
+
+def test_a_late_report_changes_nothing() -> None:
+    world, node, (w,) = start_world(1)
+    assert node.term is not None
+    old = w.report()
+    ident = world.accept(node)
+    world.settle(node.term)
+    place = node.term.ledger.jobs[ident].places[0]
+    assert place.state is PlaceState.RUNNING
+    orders = node.term.checkin(old)
+    assert isinstance(orders, Orders) and not orders.commands
+    assert node.term.ledger.jobs[ident].places[0] is place
+
+
+def test_a_lost_start_is_sent_again_under_the_same_attempt() -> None:
+    """Only a newer check-in proves that a start was lost; a direct report may overtake the response."""
+    world, node, (w,) = start_world(1)
+    assert node.term is not None
+    ident = world.accept(node)
+    world.checkin(node.term, w, lose=True)
+    place = node.term.ledger.jobs[ident].places[0]
+    assert place.state is PlaceState.SENT
+    node.term.take_direct(node.term.fleet.by_name[w.name], w.report())
+    assert place.sent_seq > 0
+    world.checkin(node.term, w)
+    assert w.started == [(f"{ident}/0", place.attempt)]
+
+
+def test_cancel_catches_a_start_in_flight() -> None:
+    world, node, (w,) = start_world(1)
+    assert node.term is not None
+    ident = world.accept(node)
+    in_flight = node.term.checkin(w.report())
+    assert isinstance(in_flight, Orders) and in_flight.commands
+    Node(world, "node-1").api.cancel(ident)
+    node.term.watch()
+    assert node.term.ledger.teams[1].used[0] > 0  # it may be there: it still counts
+    w.obey(in_flight)
+    assert w.running()
+    world.settle(node.term, 3)
+    assert not w.running()
+    assert ident not in node.term.ledger.jobs
+    assert node.term.ledger.teams[1].used == [0, 0]
+
+
+def test_a_gang_that_loses_a_task_starts_again_whole_under_a_new_attempt() -> None:
+    world, node, workers = start_world(3)
+    assert node.term is not None
+    ident = world.accept(node, shape="ensemble", shards=3, cpus=15.0)
+    world.settle(node.term)
+    assert [len(w.running()) for w in workers] == [1, 1, 1]
+    first = {w.started[-1][1] for w in workers}
+    assert len(first) == 1
+    workers[0].finish(workers[0].running()[0], Why.PEERS)
+    job = node.term.ledger.jobs[ident]
+    world.checkin(node.term, workers[0])
+    assert all(p.stop for p in job.places.values())
+    assert not any(p.attempt not in first for p in job.places.values())
+    world.settle(node.term, 8)
+    second = {w.started[-1][1] for w in workers}
+    assert len(second) == 1 and second != first
+
+
+def test_a_gang_waits_until_all_slots_are_free_at_once() -> None:
+    world, node, _workers = start_world(2)
+    assert node.term is not None
+    world.accept(node, shape="ensemble", shards=1, cpus=15.0, rank="high")
+    world.settle(node.term)
+    ident = world.accept(node, shape="ensemble", shards=2, cpus=15.0)
+    world.settle(node.term, 3)
+    job = node.term.ledger.jobs[ident]
+    assert not job.places
+    assert "free at once" in job.why_waiting or "cleared" in job.why_waiting
+
+
+def test_one_gang_task_done_means_all_are() -> None:
+    world, node, workers = start_world(2)
+    assert node.term is not None
+    ident = world.accept(node, shape="ensemble", shards=2, cpus=15.0)
+    world.settle(node.term)
+    workers[0].finish(f"{ident}/{workers[0].running()[0].split('/')[1]}")
+    world.checkin(node.term, workers[0])
+    node.term.close_jobs()
+    assert view(node, ident) == "done"
+
+
+def test_a_full_team_waits_though_machines_are_free() -> None:
+    world, node, workers = start_world(3)
+    assert node.term is not None
+    ident = world.accept(node, crew="red", shards=40, cpus=1.0, ramGb=0.5)
+    world.settle(node.term, 8)
+    job = node.term.ledger.jobs[ident]
+    assert sum(len(w.running()) for w in workers) == 16
+    assert job.waiting() == 24
+
+
+def test_scatter_and_one_zone_hold() -> None:
+    world = World()
+    for i in range(4):
+        world.worker(f"n-{i:06d}", zone="ab"[i % 2])
+    node = Node(world, "node-0")
+    term = node.lead()
+    world.settle(term, 3)
+    spread = world.accept(node, shape="ensemble", shards=3, cpus=4.0, scatter=True)
+    together = world.accept(node, shape="ensemble", shards=2, cpus=10.0, samePlace=True)
+    world.settle(term, 6)
+
+    def zones(ident: str) -> list[int]:
+        found = []
+        for place in term.ledger.jobs[ident].places.values():
+            m = term.fleet.at(place.machine)
+            assert m is not None
+            found.append(m.zone)
+        return found
+
+    assert sorted(zones(spread).count(z) for z in set(zones(spread))) == [1, 2]
+    assert len(zones(together)) == 2 and len(set(zones(together))) == 1
+
+
+def test_a_hundred_thousand_tasks_cost_bits_not_objects() -> None:
+    world, node, (_w,) = start_world(1)
+    assert node.term is not None
+    began = time.process_time()
+    ident = world.accept(node, shards=100_000, cpus=1.0, ramGb=0.1)
+    world.settle(node.term, 2)
+    job = node.term.ledger.jobs[ident]
+    assert len(job.places) == 16 and job.waiting() == 100_000 - 16
+    for index in range(99_000):
+        node.term.ledger.mark_done(job, index, 0.0)
+        job.dirty.setdefault(index // node.term.ledger.chunk_bits, 0.0)
+    node.term.save_progress()
+    assert job.dirty == {}
+    assert world.state.largest_value <= 4096 and world.state.largest_txn <= 12
+    again = successor(world, "node-1")
+    assert again.term is not None
+    assert again.term.ledger.jobs[ident].done_count == 99_000
+    assert time.process_time() - began < 20.0  # a bound on the order of magnitude, not on the machine
+
+
+def test_memory_stays_bounded_as_finished_jobs_pile_up() -> None:
+    world, node, (w,) = start_world(1)
+    assert node.term is not None
+    for _ in range(30):
+        ident = world.accept(node)
+        world.settle(node.term, 7)
+        w.finish(f"{ident}/0")
+        world.settle(node.term, 1)
+    world.settle(node.term, 2)
+    assert not node.term.ledger.jobs and not w.tasks
+    assert not [k for k in world.state.data if k.startswith(("live/", "prog/"))]
+
+
+def test_an_old_leader_is_fenced_at_the_store_and_by_workers() -> None:
+    world, node, (w,) = start_world(1)
+    old = node.term
+    assert old is not None
+    again = successor(world, "node-1")
+    assert again.term is not None
+    # its clock says so first
+    assert old.checkin(w.report()) is None
+    # and if that clock were wrong, the store would refuse its write
+    node.leadership.authority_until = world.clock.now + 100
+    with pytest.raises(Fenced):
+        old.commit([], [put("x", 1)], 3)  # type: ignore[arg-type]
+    assert "x" not in world.state.data
+    assert node.leadership.state is LeaderState.FOLLOWING
+
+
+def test_a_leader_pauses_in_an_outage_and_goes_on_under_the_same_token() -> None:
+    world, node, (w,) = start_world(1)
+    assert node.term is not None
+    token = node.leadership.token
+    world.state.down = True
+    world.clock.now += 5.0
+    assert not node.leadership.renew()
+    assert isinstance(node.term.checkin(w.report()), Orders)
+    world.clock.now += 8.0
+    node.leadership.check_clock()
+    assert node.leadership.state is LeaderState.PAUSED
+    assert node.term.checkin(w.report()) is None
+    world.state.down = False
+    for hold in world.state.holds:  # after an outage all holds have their full time again
+        world.state.holds[hold] = (12.0, world.clock.now + 12.0)
+    assert node.leadership.renew()
+    node.leadership.move(LeaderState.LEADING, "test")
+    assert node.leadership.token == token
+    assert isinstance(node.term.checkin(w.report()), Orders)
+
+
+def test_a_restarted_controller_takes_its_own_key_at_once_with_a_higher_token() -> None:
+    world, node, _ = start_world(1)
+    again = Node(world, "node-0")
+    again.lead()
+    assert again.leadership.token > node.leadership.token
+    stranger = Node(world, "node-1")
+    stranger.leadership.look()
+    assert stranger.leadership.state is LeaderState.FOLLOWING
+    assert stranger.leadership.leader == "node-0"
+
+
+def test_an_unrecorded_machine_gets_no_task() -> None:
+    world = World()
+    w = world.worker("n-000000")
+    node = Node(world, "node-0")
+    term = node.lead()
+    world.accept(node)
+    for _ in range(3):
+        world.clock.now += 1
+        world.checkin(term, w)
+    assert not w.started
+    term.record_machines()
+    assert "m/n-000000" in world.state.data
+    world.settle(term, 2)
+    assert w.started
+
+
+def test_a_silent_machine_keeps_its_tasks_until_its_lease_is_surely_over() -> None:
+    world, node, (near, far) = start_world()
+    assert node.term is not None
+    ident = world.accept(node, shards=20)
+    world.settle(node.term)
+    held = set(far.running())
+    assert held
+    far.reachable = False
+    world.settle(node.term, 19)
+    assert not held & set(near.running())
+    assert node.term.fleet.by_name[far.name].state is MachineState.SUSPECT
+    for task in near.running():
+        near.finish(task)
+    world.settle(node.term, 10)
+    assert held & set(near.running())
+    assert ident in node.term.ledger.jobs
+
+
+def test_a_new_session_proves_that_all_earlier_tasks_are_gone() -> None:
+    world, node, (w,) = start_world(1)
+    assert node.term is not None
+    ident = world.accept(node)
+    world.settle(node.term)
+    first = w.started[-1][1]
+    w.lapse()
+    world.settle(node.term, 8)
+    assert w.running() == [f"{ident}/0"] and w.started[-1][1] > first
+
+
+def test_a_faulty_machine_is_told_from_a_faulty_job() -> None:
+    world, node, (bad, good) = start_world()
+    assert node.term is not None
+    for i in range(80):
+        if i % 4 == 0 and i < 60:
+            world.accept(node, shards=8)
+        world.settle(node.term, 1)
+        for w in (bad, good):
+            for task in w.running():
+                w.finish(task, Why.ERROR if w is bad else Why.DONE)
+    fleet = node.term.fleet
+    assert bad.name not in fleet.by_name or fleet.by_name[bad.name].drain == "faulty"
+    assert fleet.by_name[good.name].drain is None
+    assert not node.term.ledger.jobs
+
+
+def test_a_job_that_fails_everywhere_condemns_no_machine() -> None:
+    world, node, workers = start_world(4)
+    assert node.term is not None
+    ident = world.accept(node, shards=8)
+    for _ in range(60):
+        world.settle(node.term, 1)
+        for w in workers:
+            for task in w.running():
+                w.finish(task, Why.ERROR)
+    assert all(m.drain is None for m in node.term.fleet.machines)
+    assert node.term.ledger.jobs[ident].hold_until > 0
+    assert sum(len(w.started) for w in workers) < 120
+
+
+def test_refusals_are_taken_one_by_one() -> None:
+    world, node, (w,) = start_world(1)
+    assert node.term is not None
+    for why in (Why.NO_ROOM, Why.UNKNOWN, Why.ALONE, Why.PEERS, Why.BUSY):
+        ident = world.accept(node)
+        world.settle(node.term, 8)
+        w.finish(f"{ident}/0", why)
+        world.checkin(node.term, w)
+        m = node.term.fleet.by_name[w.name]
+        job = node.term.ledger.jobs[ident]
+        assert job.state is JobState.WAITING or job.places[0].state is PlaceState.SENT
+        assert (m.blocked_until > world.clock.now) == (why is Why.NO_ROOM)
+        assert (job.hold_until > world.clock.now) == (why is Why.UNKNOWN)
+        node.api.cancel(ident)
+        world.settle(node.term, 3)
+
+
+def test_a_spot_notice_empties_the_machine_in_time() -> None:
+    world = World()
+    cheap = world.worker("n-000000", spot=True)
+    node = Node(world, "node-0")
+    term = node.lead()
+    world.settle(term, 3)
+    ident = world.accept(node, markS=10.0, stowS=4.0, reckonS=500.0)
+    world.settle(term, 3)
+    assert cheap.running()
+    firm = world.worker("n-000001")
+    cheap.notice_s = 15.0
+    world.settle(term, 6)
+    assert not cheap.running()
+    assert firm.running() == [f"{ident}/0"]
+
+
+def test_a_guarantee_does_not_displace_higher_priority() -> None:
+    """Guards against a gang and a guaranteed array that stopped each other in turns."""
+    world, node, (w,) = start_world(1)
+    assert node.term is not None
+    gang = world.accept(node, shape="ensemble", shards=1, cpus=15.0, rank="standard")
+    world.settle(node.term, 3)
+    low = world.accept(node, crew="red", shards=4, cpus=1.0, rank="best_effort")
+    world.settle(node.term, 12)
+    assert node.term.ledger.jobs[low].guaranteed and not node.term.ledger.jobs[gang].guaranteed
+    assert f"{gang}/0" in w.running()
+    assert len([s for s in w.started if s[0] == f"{gang}/0"]) == 1
+
+
+def test_preemption_stops_the_cheapest_work_that_makes_the_room() -> None:
+    world, node, (a, b) = start_world()
+    assert node.term is not None
+    long = world.accept(node, shards=1, cpus=16.0, rank="best_effort")
+    world.settle(node.term, 30)
+    short = world.accept(node, shards=1, cpus=16.0, rank="best_effort", driftwood=False)
+    world.settle(node.term, 8)
+    assert len(a.running()) == len(b.running()) == 1
+    gang = world.accept(node, shape="ensemble", shards=1, cpus=15.0, rank="high")
+    world.settle(node.term, 6)
+    running = a.running() + b.running()
+    assert f"{gang}/0" in running and f"{long}/0" in running and f"{short}/0" not in running
+
+
+def test_a_task_of_an_unknown_job_is_stopped_and_forgotten() -> None:
+    world, node, (w,) = start_world(1)
+    assert node.term is not None
+    w.tasks["j-999999/0"] = TaskStatus("j-999999/0", 7, TaskReport.RUNNING)
+    world.settle(node.term, 3)
+    assert not w.tasks
+
+
+def test_rentals_are_on_record_before_the_cloud_is_asked_and_settled_by_the_next_leader() -> None:
+    world = World(rules="rent = true\n")
+    node = Node(world, "node-0")
+    term = node.lead()
+    world.accept(node, shards=20)
+    term.step_schedule(world.clock.now)
+    world.cloud.lose_answers = 1
+    with pytest.raises(Exception, match="lost"):
+        term.step_fleet()
+    assert len([k for k in world.state.data if k.startswith("rent/")]) == 1
+    (name,) = world.cloud.requests
+    again = successor(world, "node-1")
+    assert again.term is not None and name in again.term.old_rents
+    again.term.step_fleet()
+    assert set(again.term.expected) >= set(world.cloud.requests[name])
+    again.term.clear_orphans()
+    assert f"rent/{name}" not in world.state.data
+
+
+def test_machines_that_never_boot_or_failed_are_deleted() -> None:
+    world = World(rules="rent = false\n")
+    node = Node(world, "node-0")
+    term = node.lead()
+    world.settle(term, 1)
+    row = {"addr": "x:1", "hull": "m4", "quay": "a", "driftwood": False}
+    world.cloud.listed = [
+        {"ref": "n-000007", "tide": "starting", "heldS": 9999.0, **row},
+        {"ref": "n-000008", "tide": "starting", "heldS": 10.0, **row},
+        {"ref": "n-000009", "tide": "failed", "heldS": 10.0, **row},
+    ]
+    term.step_fleet()
+    assert sorted(world.cloud.deleted) == ["n-000007", "n-000009"]
+
+
+def test_report_bodies_with_null_fields_are_read() -> None:
+    _world, node, _ = start_world(1)
+    assert node.term is not None
+    body = json.dumps({
+        "vessel": "n-000077", "addr": "x:1", "hull": "m4", "quay": "b", "driftwood": False, "watch": 1, "tally": 1,
+        "helm": 0, "recallS": None, "shards": [], "unknown": {"x": 1},
+    })  # fmt: skip
+    import msgspec
+
+    orders = node.term.checkin(msgspec.json.decode(body, type=Report))
+    assert isinstance(orders, Orders) and orders.token == node.term.token
