--- a/src/grebestand/ledger.py
+++ b/src/grebestand/ledger.py
@@ -212,6 +212,7 @@
         self.type_bound = 24
         self.chunk_bits = 16384
         self.changed = False
+        self.arrived = False
 
     # jobs -------------------------------------------------------------------------------------------------
 
@@ -226,7 +227,7 @@
         job.type = self._classify(job, now)
         job.wait_since = now
         self.jobs[spec.id] = job
-        self.changed = True
+        self.changed = self.arrived = True
         return job
 
     def _classify(self, job: Job, now: float) -> int:
--- a/src/grebestand/placement.py
+++ b/src/grebestand/placement.py
@@ -142,12 +142,18 @@
     pool: int
     config: Config
     empty: bool
+    holds: Config = ()
     rank: int = 0
     accept: bool = False
     changed: bool = False
     zone: int = 0
     tag: int = field(default=0)
 
+    def may_become(self, config: Config) -> bool:
+        """The paper reassigns empty machines only, so that nothing is preempted. Nothing is either where all
+        that the machine holds has a slot in the new configuration."""
+        return self.empty or (bool(self.holds) and all(h <= n for h, n in zip(self.holds, config, strict=True)))
+
 
 def cra(seats: list[Seat], plan: list[Wanted]) -> int:
     """Classification and Reassignment (Algorithm 2): sets rank, group and, for empty machines, configuration.
@@ -168,9 +174,9 @@
         if not lack:
             continue
         later = {w.config for w in plan[i:] if w.pool == wanted.pool}
-        empty = [s for s in seats if s.pool == wanted.pool and s.rank == worst and s.empty]
+        empty = [s for s in seats if s.pool == wanted.pool and s.rank == worst and s.may_become(wanted.config)]
         # an empty machine whose configuration no later entry wants is the cheapest one to take
-        empty.sort(key=lambda s: s.config in later)
+        empty.sort(key=lambda s: (not s.empty, s.config in later))
         for seat in empty[:lack]:
             seat.rank, seat.config, seat.changed = i, wanted.config, True
         if lack > len(empty):
--- a/src/grebestand/scheduler.py
+++ b/src/grebestand/scheduler.py
@@ -131,7 +131,12 @@
                 m.config = self._holdings(m, width)
             config = tuple(m.config[k] if k < len(m.config) else 0 for k in kinds)
             empty = not m.places and m.reserved_for is None
-            seats.append(Seat(p, config, empty, zone=m.zone, tag=m.index))
+            holds: Config = ()
+            if m.places and m.reserved_for is None:
+                all_held = self._holdings(m, width)
+                held = tuple(all_held[k] for k in kinds)
+                holds = held if sum(held) == sum(all_held) else ()
+            seats.append(Seat(p, config, empty, holds, zone=m.zone, tag=m.index))
         seats.sort(key=lambda s: (s.empty, s.tag))
         sizes = [sum(1 for s in seats if s.pool == p) for p in range(len(pools))]
         plan = self._plan(slots, need, targets, pools, sizes)
--- a/src/grebestand/term.py
+++ b/src/grebestand/term.py
@@ -47,6 +47,7 @@
 
 PROGRESS_AGE_S = 1.5
 LIST_S = 5.0
+ARRIVAL_GAP_S = 0.5
 
 
 class MachineRecord(msgspec.Struct):
@@ -382,7 +383,10 @@
         if not self.loaded or self.leadership.state is not LeaderState.LEADING:
             return
         ledger = self.ledger
-        if now - self.scheduler.retargeted_at >= self.scheduler.knobs.period_s:
+        since = now - self.scheduler.retargeted_at
+        # the paper updates at every arrival; here an arrival brings the next computation forward
+        if since >= self.scheduler.knobs.period_s or (ledger.arrived and since >= ARRIVAL_GAP_S):
+            ledger.arrived = False
             self.fleet.sweep_silence(now)
             self.check_proved(now)
             self.scheduler.retarget(now)
@@ -443,7 +447,10 @@
             keys.difference_update(fitting)
         self._orphan_progress(ident)
         self.ledger.drop_if_settled(job)
-        log.info("%s is %s, %.1f s after it was accepted", ident, record.state.value, now - job.accepted_at)
+        age = now - job.accepted_at
+        log.info("%s is %s, %.1f s after it was accepted", ident, record.state.value, age)
+        if job.spec.deadline_s is not None and age > job.spec.deadline_s:
+            log.info("%s of %s was due after %.1f s", ident, job.spec.klass, job.spec.deadline_s)
 
     def save_progress(self) -> None:
         """Writes done tasks of arrays in chunks, several in one transaction; only then may they be forgotten."""
