Durable coarse grants; a machine of unknown size may run any amount (quota broken once)

Ruled out: the grants themselves (only tasks that no grant covers were started). Grants: after a takeover with one dead machine all waiting tasks of older jobs stood still for a whole lease (22 s and 32 s in the logs); now only tasks that machine may hold do.

--- a/src/grebestand/fleet.py
+++ b/src/grebestand/fleet.py
@@ -13,6 +13,7 @@
 #: steady clocks may drift apart by this much (the protocol's bound)
 DRIFT = 0.0005
 MARGIN_S = 1.0
+ANY_AMOUNT = 1 << 60
 
 
 class Machine:
@@ -69,6 +70,8 @@
         self.kinds: dict[int, MachineType] = {}
         self.lease_s = lease_s
         self.report_s = report_s
+        #: machines proved since the last look
+        self.proved: list[int] = []
         self._by_index: dict[int, Machine] = {}
         self._next_index = 0
 
@@ -77,6 +80,7 @@
             self.kinds[self.ledger.machine_types.index(t.name)] = t
         for m in self.by_name.values():
             self._measure(m)
+        self.count_unknown()
 
     def _measure(self, m: Machine) -> None:
         kind = self.kinds.get(m.kind)
@@ -114,8 +118,9 @@
             self.machines.remove(m)
             del self.by_name[m.name]
             del self._by_index[m.index]
-        if MachineState.UNPROVED in (old, new):
+        if old is MachineState.UNPROVED:
             self.count_unknown()
+            self.proved.append(m.index)
         self.ledger.changed = True
 
     def occupy(self, m: Machine, place: Place) -> None:
@@ -141,9 +146,15 @@
         return now - since > self.lease_s * (1 + 2 * DRIFT) + MARGIN_S
 
     def count_unknown(self) -> None:
-        """Unproved machines may run anything up to their size: each team's limit has to allow for it."""
-        cpu = sum(m.room[0] for m in self.machines if m.state is MachineState.UNPROVED)
-        gpu = sum(m.room[1] for m in self.machines if m.state is MachineState.UNPROVED)
+        """Unproved machines may run anything up to their size: each team's limit has to allow for it.
+
+        A machine whose size is not known yet may run any amount. A leader that restarted takes over before it
+        has read the machine types; counting such machines as nothing once put a team over its limit.
+        """
+        unproved = self.unproved()
+        sizeless = any(m.room == (0, 0, 0) for m in unproved)
+        cpu = ANY_AMOUNT if sizeless else sum(m.room[0] for m in unproved)
+        gpu = ANY_AMOUNT if sizeless else sum(m.room[1] for m in unproved)
         for team in self.ledger.teams:
             team.unknown = [cpu, gpu]
 
--- a/src/grebestand/ledger.py
+++ b/src/grebestand/ledger.py
@@ -65,18 +65,21 @@
         "earned",
         "errors",
         "fresh",
+        "granted",
+        "granted_hi",
         "guaranteed",
         "hold_until",
         "image",
-        "needs_proof",
         "places",
         "preempt_at",
         "returned",
         "size",
         "spec",
         "state",
+        "suspects",
         "team",
         "type",
+        "unseen_below",
         "version",
         "wait_since",
         "why_waiting",
@@ -104,7 +107,12 @@
         self.earned = False
         self.avoid: dict[int, float] = {}
         self.hold_until = 0.0
-        self.needs_proof = False
+        #: durable coarse grant: machines (None: any) that tasks below granted_hi may have been started on
+        self.granted: set[int] | None = set()
+        self.granted_hi = 0
+        #: machines that may hold tasks of an earlier leader's, not yet proved; such tasks are below unseen_below
+        self.suspects: set[int] = set()
+        self.unseen_below = 0
         self.guaranteed = False
         self.wait_since = accepted_at
         self.preempt_at = -math.inf
@@ -135,6 +143,20 @@
             return 0
         return max(0, self.spec.tasks - self.done_count - len(self.places))
 
+    def startable(self) -> int:
+        """Waiting tasks that are provably nowhere. After a takeover only those an earlier leader may have
+        started wait for proof: the ones that were seen since, or that no grant covers, do not."""
+        if not self.suspects or not self.live:
+            return self.waiting()
+        if self.gang:
+            return 0
+        back = sum(1 for i in set(self.returned) if not self.is_done(i) and i not in self.places)
+        return back + self.spec.tasks - self.fresh
+
+    def covers(self, place: Place) -> bool:
+        """Whether the durable grant tells a later leader that this task may be on that machine."""
+        return place.index < self.granted_hi and (self.granted is None or place.machine in self.granted)
+
     def running(self) -> int:
         return sum(1 for p in self.places.values() if p.state is PlaceState.RUNNING)
 
@@ -334,6 +356,27 @@
             self.move_job(job, JobState.WAITING, now)
         self.changed = True
 
+    def suspect(self, job: Job, machines: set[int], hi: int) -> None:
+        """An earlier leader may have started tasks below `hi` on these machines: they wait for proof."""
+        job.suspects = machines
+        job.unseen_below = job.fresh = hi
+        if not machines:
+            self.clear(job, None)
+
+    def clear(self, job: Job, machine: int | None) -> bool:
+        """A machine is proved. Once all are, the tasks that nobody has seen are nowhere and wait like others."""
+        if machine is not None:
+            if machine not in job.suspects:
+                return False
+            job.suspects.discard(machine)
+        if job.suspects:
+            return False
+        unseen = range(job.unseen_below)
+        job.returned = [i for i in reversed(unseen) if not job.is_done(i) and i not in job.places]
+        job.unseen_below = 0
+        self.changed = True
+        return True
+
     def waiting_jobs(self) -> Iterator[Job]:
         for job in self.jobs.values():
             if job.live and job.waiting() > 0:
--- a/src/grebestand/scheduler.py
+++ b/src/grebestand/scheduler.py
@@ -168,7 +168,7 @@
         for job in self.ledger.waiting_jobs():
             if now - job.wait_since > 2 * self.knobs.period_s:
                 why = job.why_waiting
-                if job.needs_proof:
+                if job.suspects and not job.startable():
                     why = "some machines have not proved what they hold"
                 elif now < job.hold_until:
                     why = "its tasks failed lately"
@@ -277,7 +277,7 @@
 
     def place(self, now: float) -> None:
         self.ledger.rate_guarantees()
-        waiting = [j for j in self.ledger.waiting_jobs() if now >= j.hold_until and not j.needs_proof]
+        waiting = [j for j in self.ledger.waiting_jobs() if now >= j.hold_until and j.startable() > 0]
         waiting.sort(key=lambda j: self.urgency(j, now))
         if not waiting:
             return
@@ -339,7 +339,7 @@
         return room if now - job.wait_since >= self.knobs.period_s or m.rank == 0 else 0
 
     def _place_tasks(self, job: Job, ready: list[Machine], now: float) -> None:
-        want = min(job.waiting(), self.ledger.teams[job.team].headroom(job.size))
+        want = min(job.startable(), self.ledger.teams[job.team].headroom(job.size))
         if want <= 0:
             job.why_waiting = "team limit"
             return
--- a/src/grebestand/term.py
+++ b/src/grebestand/term.py
@@ -57,6 +57,13 @@
     addr: str
 
 
+class GrantRecord(msgspec.Struct):
+    """Where a job's tasks below `hi` may have been started; no list: anywhere."""
+
+    hi: int
+    machines: list[str] | None = None
+
+
 class RentRecord(msgspec.Struct):
     type: str
     zone: str
@@ -214,8 +221,14 @@
             for pair in page.items:
                 self.old_rents[pair.key[5:]] = msgspec.convert(pair.value, RentRecord)
         self.watched = first
+        for page in self.state.scan("grant/"):
+            for pair in page.items:
+                job = self.ledger.jobs.get(pair.key[6:])
+                if job is None:
+                    self.orphans.add(pair.key)
+                else:
+                    self._take_grant(job, msgspec.convert(pair.value, GrantRecord))
         for job in list(self.ledger.jobs.values()):
-            job.needs_proof = True
             if job.unfinished() == 0:
                 self.ledger.move_job(job, JobState.CLOSING, now)
                 self.desk.closing[job.spec.id] = job
@@ -236,23 +249,73 @@
         age = min(max(0.0, self.wall() - record.at), 86400.0)
         job = self.ledger.add(record.spec, version, now - age, now)
         job.wait_since = now
-        # jobs accepted in this term cannot have been started by an earlier leader
-        job.needs_proof = not self.proved and version < self.token
+
+    def _take_grant(self, job: Job, record: GrantRecord) -> None:
+        """An earlier leader's grant: its machines have to be proved before unseen tasks start again. Machines
+        without a record were deleted; a job without a grant was never started."""
+        job.granted_hi = record.hi
+        if record.machines is None:
+            job.granted = None
+            held = {m.index for m in self.fleet.machines}
+        else:
+            held = {m.index for m in (self.fleet.by_name.get(n) for n in record.machines) if m is not None}
+            job.granted = set(held)
+        self.ledger.suspect(job, held, min(record.hi, job.spec.tasks))
+
+    def write_grants(self, jobs: list[Job]) -> None:
+        """Makes durable where these jobs' queued tasks may be, before any of them is sent."""
+        room = self.settings.params.state.txn_ops
+        for start in range(0, len(jobs), room):
+            batch = [self._widened(job) for job in jobs[start : start + room] if job.live]
+            while batch:
+                conditions = [at(live_key(job.spec.id), job.version) for job, *_ in batch]
+                changes = [put(f"grant/{job.spec.id}", msgspec.to_builtins(r)) for job, r, _ in batch]
+                failed = self.commit(conditions, changes, Urgency.ACCEPT)
+                if not failed:
+                    break
+                # cancelled meanwhile: the watch will say so
+                batch = [b for b in batch if live_key(b[0].spec.id) not in failed]
+            for job, record, machines in batch:
+                job.granted_hi = max(job.granted_hi, record.hi)
+                if record.machines is None or job.granted is None:
+                    job.granted = None
+                else:
+                    job.granted |= machines
+
+    def _widened(self, job: Job) -> tuple[Job, GrantRecord, set[int]]:
+        queued = [p for p in job.places.values() if not job.covers(p)]
+        machines = {p.machine for p in queued} | (job.granted or set())
+        # somewhat further than needed, so that the next few tasks need no write
+        hi = max([job.granted_hi, *(p.index + 1 for p in queued)])
+        if hi > job.granted_hi:
+            hi = min(job.spec.tasks, hi + max(4, hi // 4))
+        known = [m for m in (self.fleet.at(i) for i in machines) if m is not None]
+        record = GrantRecord(hi, sorted(m.name for m in known))
+        if job.granted is None or len(msgspec.json.encode(record)) > self.api.value_bytes:
+            record.machines = None
+        return job, record, {m.index for m in known}
 
     def check_proved(self, now: float) -> None:
-        """Once no machine can hold a task unknown to this leader, older jobs' unseen tasks may run too."""
-        if self.proved or not self.loaded or self.fleet.unproved():
+        """Once every machine that may hold a job's tasks is proved, its unseen tasks are nowhere and may run."""
+        if self.proved or not self.loaded:
+            return
+        news, self.fleet.proved = self.fleet.proved, []
+        for index in news:
+            for job in list(self.ledger.jobs.values()):
+                if self.ledger.clear(job, index):
+                    self._check_gang(job, now)
+        if self.fleet.unproved():
             return
         self.proved = True
         self.fleet.count_unknown()
-        for job in self.ledger.jobs.values():
-            job.needs_proof = False
-            if job.gang and job.live and job.places and len(job.places) < job.spec.tasks:
-                # part of the gang is nowhere: what is left of the attempt can only wait in vain
-                self.desk.stop_job(job, "gang incomplete after takeover", 0.0, now)
         log.info("term %d: all machines proved after %.1f s", self.token, now - self.started_at)
         self.ledger.changed = True
 
+    def _check_gang(self, job: Job, now: float) -> None:
+        if job.gang and job.live and job.places and len(job.places) < job.spec.tasks:
+            # part of the gang is nowhere: what is left of the attempt can only wait in vain
+            self.desk.stop_job(job, "gang incomplete after takeover", 0.0, now)
+
     def watch(self) -> None:
         """Follows the live records: new jobs, and removals by whichever controller was asked to cancel."""
         try:
@@ -295,6 +358,9 @@
         self.watched = first
 
     def _orphan_progress(self, ident: str) -> None:
+        job = self.ledger.jobs.get(ident)
+        if job is not None and job.granted_hi and job.state is JobState.CANCELLED:
+            self.orphans.add(f"grant/{ident}")
         for chunk in self.prog_keys.pop(ident, set()):
             self.orphans.add(f"prog/{ident}/{chunk}")
 
@@ -373,6 +439,16 @@
         if m.state is MachineState.GONE:
             return Orders(self.token, [])
         self.step_schedule(now)
+        uncovered = self.desk.uncovered(m)
+        if uncovered:
+            try:
+                self.write_grants(uncovered)
+            except (StateError, Fenced) as e:
+                log.info("starts on %s wait: %s", m.name, e)
+            now = self.clock()
+            newer = (m.session, m.seq) != (report.session, report.seq)
+            if newer or not self.leadership.entitled() or self.leadership.token != self.token:
+                return Orders(self.token, []) if self.leadership.token == self.token else None
         commands = self.desk.commands(m, report, now, direct=False)
         m.given_at = now
         return Orders(self.token, commands)
@@ -426,6 +502,8 @@
         ident = job.spec.id
         record = OverRecord(JobView.DONE, job.spec.tasks)
         changes = [delete(live_key(ident)), put(over_key(ident), msgspec.to_builtins(record))]
+        if job.granted_hi:
+            changes.append(delete(f"grant/{ident}"))
         chunks = sorted(self.prog_keys.get(ident, set()))
         fitting = chunks[: self.settings.params.state.txn_ops - len(changes)]
         changes += [delete(f"prog/{ident}/{c}") for c in fitting]
--- a/src/grebestand/workers.py
+++ b/src/grebestand/workers.py
@@ -315,6 +315,8 @@
             elif direct or m.state is not MachineState.READY or not m.recorded:
                 continue
             elif place.state is PlaceState.QUEUED or (place.state is PlaceState.SENT and place.sent_seq < 0):
+                if not place.job.covers(place):
+                    continue  # a later leader would not know where to look for it
                 self.ledger.move_place(place, PlaceState.SENT, now)
                 place.session = place.sent_session = r.session
                 place.sent_seq = r.seq
@@ -329,6 +331,11 @@
         # a result is forgotten only once it is durable: until then the report is the only record of it
         return job.state in (JobState.DONE, JobState.CANCELLED) or job.is_durable(index)
 
+    def uncovered(self, m: Machine) -> list[Job]:
+        """Jobs whose grants have to be widened before what is queued for this machine may be sent."""
+        jobs = {id(p.job): p.job for p in m.places.values() if p.state is PlaceState.QUEUED and not p.job.covers(p)}
+        return list(jobs.values())
+
     def direct_stops(self, m: Machine) -> list[Command]:
         return [
             Command("stop", task_name(p.job.spec.id, p.index), p.attempt, p.grace)
