--- a/src/grebestand/scheduler.py
+++ b/src/grebestand/scheduler.py
@@ -37,6 +37,9 @@
 TYPE_MEMORY_S = 60.0
 RESERVE_S = 20.0
 GANG_PROBATION_S = 30.0
+#: a core that waits for an image also makes its job late, so it counts for more than a lost second of work
+IDLE_WEIGHT = 2.0
+CLEARING_COST = 5.0
 
 
 @dataclass
@@ -47,6 +50,7 @@
     payoffs: tuple[float, float, float, float]
     period_s: float
     preempt_after_s: float
+    reclaim_after_s: float
     migrate: bool
     lend_spare: bool
 
@@ -61,6 +65,16 @@
     zones: tuple[int, ...]
 
 
+@dataclass
+class Offer:
+    """Room for so many tasks of a gang on one machine, what has to be stopped for it, and its price for each."""
+
+    machine: Machine
+    tasks: int
+    victims: list[Place]
+    cost: float
+
+
 class Scheduler:
     def __init__(
         self,
@@ -397,15 +411,22 @@
             return
         # one bad machine would cost the whole gang its start
         ready = [m for m in ready if not m.errors or now - m.error_at > GANG_PROBATION_S]
-        options = [m for m in ready if self._allowed(job, m) and fits(job.size, m.free)]
-        chosen = self._choose_gang(job, options, {m.index: how_many(job.size, m.free) for m in options})
+        offers = self._offers(job, ready, now)
+        chosen = self._choose_gang(job, offers)
         if chosen is None:
-            job.why_waiting = "not all slots are free at once"
-            self._make_gang_room(job, ready, now)
+            job.why_waiting = "not all slots are free at once, nor can they be cleared in one zone"
+            return
+        if any(offer.victims for offer, _ in chosen):
+            job.why_waiting = "its slots are being cleared"
+            job.preempt_at = now
+            for offer, _ in chosen:
+                offer.machine.reserved_for, offer.machine.reserved_until = job.spec.id, now + RESERVE_S
+                self._displace(offer.victims, job, now)
             return
         attempt = self.desk.next_attempt()
         index = 0
-        for m, count in chosen:
+        for offer, count in chosen:
+            m = offer.machine
             for _ in range(count):
                 self.desk.start(job, index, m, attempt, now)
                 index += 1
@@ -413,42 +434,76 @@
                 m.reserved_for = None
         log.info(
             "gang %s: %d tasks placed after %.1f s on %s",
-            job.spec.id, n, now - job.accepted_at, ",".join(m.name for m, _ in chosen),
-        )  # fmt: skip
+            job.spec.id,
+            n,
+            now - job.accepted_at,
+            ",".join(offer.machine.name for offer, _ in chosen),
+        )
 
-    def _choose_gang(self, job: Job, options: list[Machine], rooms: dict[int, int]) -> list[tuple[Machine, int]] | None:
-        """Machines for a whole gang, in one zone or spread as its job demands."""
-        n = job.spec.tasks
-        ranked = sorted(options, key=lambda m: (m.reserved_for is None, *self._preference(job, m)))
-        zones = sorted({m.zone for m in ranked})
-        if job.spec.one_zone:
-            best: list[tuple[Machine, int]] | None = None
-            best_cost: tuple[int, int] | None = None
-            for zone in zones:
-                picked = self._pick([m for m in ranked if m.zone == zone], rooms, n, {})
-                if picked is None:
-                    continue
-                spare = sum(rooms[m.index] for m in ranked if m.zone == zone) - n
-                cost = (sum(job.image not in m.images for m, _ in picked), -spare)
-                if best_cost is None or cost < best_cost:
-                    best, best_cost = picked, cost
-            return best
-        limit = dict.fromkeys(zones, -(-n // 2)) if job.spec.spread else {}
-        return self._pick(ranked, rooms, n, limit)
+    def _offers(self, job: Job, ready: list[Machine], now: float) -> list[Offer]:
+        """What each machine could do for a gang: free room now, or room that stopping other work would free.
+
+        Both have a price in CPU seconds: work thrown away, and cores that stand still while an image is
+        fetched. A machine that has the image may be worth clearing though another is free.
+        """
+        offers = []
+        patient = self._patient(job, self.knobs.preempt_after_s, now)
+        for m in ready:
+            if not self._allowed(job, m):
+                continue
+            fetch = IDLE_WEIGHT * self._fetch_s(job, m) * job.size[0] / 1e6
+            leaving = any(p.stop is not None for p in m.places.values())
+            free = min(how_many(job.size, m.free), job.spec.tasks)
+            if free > 0:
+                offers.append(Offer(m, free, [], fetch))
+            if patient or (leaving and free > 0):
+                continue
+            for tasks in range(min(how_many(job.size, m.room), job.spec.tasks), free, -1):
+                found = self._eviction(job, m, tasks, now)
+                if found is not None:
+                    # clearing takes a moment in any case, and more while something saves
+                    offers.append(Offer(m, tasks, found[0], fetch + found[1] / tasks + CLEARING_COST))
+                    break
+        return offers
+
+    def _fetch_s(self, job: Job, m: Machine) -> float:
+        if job.image in m.images or any(p.job.image == job.image for p in m.places.values()):
+            return 0.0
+        kind = self.fleet.kinds.get(m.kind)
+        return job.spec.image_gb / max(kind.fetch_gb_per_s, 1e-3) if kind else 0.0
+
+    def _choose_gang(self, job: Job, offers: list[Offer]) -> list[tuple[Offer, int]] | None:
+        """The cheapest machines for a whole gang, in one zone or spread as its job demands."""
+        ranked = sorted(
+            offers,
+            key=lambda o: (o.machine.reserved_for is None, o.cost, *self._preference(job, o.machine)),
+        )
+        if not job.spec.one_zone:
+            limit = -(-job.spec.tasks // 2) if job.spec.spread else job.spec.tasks
+            return self._pick(ranked, job.spec.tasks, limit)
+        best: list[tuple[Offer, int]] | None = None
+        best_cost = math.inf
+        for zone in sorted({o.machine.zone for o in ranked}):
+            picked = self._pick([o for o in ranked if o.machine.zone == zone], job.spec.tasks, job.spec.tasks)
+            if picked is None:
+                continue
+            cost = sum(o.cost * n for o, n in picked)
+            if cost < best_cost:
+                best, best_cost = picked, cost
+        return best
 
     @staticmethod
-    def _pick(
-        ranked: list[Machine], rooms: dict[int, int], n: int, limit: dict[int, int]
-    ) -> list[tuple[Machine, int]] | None:
-        left = n
-        picked: list[tuple[Machine, int]] = []
+    def _pick(ranked: list[Offer], tasks: int, zone_limit: int) -> list[tuple[Offer, int]] | None:
+        left = tasks
+        picked: list[tuple[Offer, int]] = []
         used: dict[int, int] = {}
-        for m in ranked:
-            count = min(rooms[m.index], left)
-            if limit:
-                count = min(count, limit[m.zone] - used.get(m.zone, 0))
-            if count > 0:
-                picked.append((m, count))
+        taken: set[int] = set()
+        for offer in ranked:
+            m = offer.machine
+            count = min(offer.tasks, left, zone_limit - used.get(m.zone, 0))
+            if count > 0 and m.index not in taken:
+                taken.add(m.index)
+                picked.append((offer, count))
                 used[m.zone] = used.get(m.zone, 0) + count
                 left -= count
             if left == 0:
@@ -518,56 +573,14 @@
             else:
                 self.desk.stop(victim, "preempted", grace, now)
 
-    def _patient(self, job: Job, now: float) -> bool:
+    @staticmethod
+    def _patient(job: Job, after_s: float, now: float) -> bool:
         """Whether the job should go on waiting before anything is stopped for it."""
-        return now - job.wait_since < self.knobs.preempt_after_s or now - job.preempt_at < 1.0
-
-    def _make_gang_room(self, job: Job, ready: list[Machine], now: float) -> None:
-        if self._patient(job, now):
-            return
-        plans: dict[int, tuple[int, list[Place], float]] = {}
-        for m in ready:
-            if not self._allowed(job, m):
-                continue
-            most = how_many(job.size, m.room)
-            for tasks in range(min(most, job.spec.tasks), 0, -1):
-                found = self._eviction(job, m, tasks, now)
-                if found is not None:
-                    plans[m.index] = (tasks, *found)
-                    break
-        options = sorted(
-            (m for m in ready if m.index in plans),
-            key=lambda m: (m.reserved_for is None, plans[m.index][2] / plans[m.index][0], job.image not in m.images),
-        )
-        best: list[tuple[Machine, int]] | None = None
-        best_cost = math.inf
-        groups = (
-            [[m for m in options if m.zone == z] for z in sorted({m.zone for m in options})]
-            if job.spec.one_zone
-            else [options]
-        )
-        rooms = {i: plan[0] for i, plan in plans.items()}
-        for group in groups:
-            limit = {}
-            if job.spec.spread:
-                limit = dict.fromkeys({m.zone for m in group}, -(-job.spec.tasks // 2))
-            picked = self._pick(group, rooms, job.spec.tasks, limit)
-            if picked is None:
-                continue
-            cost = sum(plans[m.index][2] for m, _ in picked)
-            if cost < best_cost:
-                best, best_cost = picked, cost
-        if best is None:
-            job.why_waiting = "no zone can be cleared for the whole gang"
-            return
-        job.preempt_at = now
-        for m, _ in best:
-            m.reserved_for, m.reserved_until = job.spec.id, now + RESERVE_S
-            self._displace(plans[m.index][1], job, now)
+        return now - job.wait_since < after_s or now - job.preempt_at < 1.0
 
     def _make_room(self, job: Job, ready: list[Machine], tasks: int, now: float) -> None:
         """Room for single tasks, where the protocol lets this job displace others."""
-        if self._patient(job, now):
+        if self._patient(job, self.knobs.reclaim_after_s, now):
             return
         headroom = tasks
         options: list[tuple[float, Machine, list[Place]]] = []
--- a/src/grebestand/term.py
+++ b/src/grebestand/term.py
@@ -169,6 +169,7 @@
             ),
             period_s=v("period_s", names),
             preempt_after_s=v("preempt_after_s", names),
+            reclaim_after_s=v("reclaim_after_s", names),
             migrate=bool(v("migrate", names)),
             lend_spare=bool(v("lend_spare", names)),
         )
