--- a/src/grebestand/policy.py
+++ b/src/grebestand/policy.py
@@ -30,6 +30,7 @@
     "cancel_s": (1e-3, 1e6),
     "gang_wait_s": (1e-3, 1e6),
     "gang_peer_s": (1e-3, 1e6),
+    "guarantee_s": (0.0, 1e6),
 }
 
 
--- a/src/grebestand/term.py
+++ b/src/grebestand/term.py
@@ -154,6 +154,9 @@
             "cancel_s": p.workers.cancel_s,
             "gang_wait_s": p.workers.gang_wait_s,
             "gang_peer_s": p.workers.gang_peer_s,
+            "guarantee_s": min(
+                (o.within_s for o in p.objectives if o.kind == "guarantee" and o.within_s), default=10.0
+            ),
         }
 
     def _knobs(self) -> Knobs:
