Least work first among jobs that can still make an aim; late ones behind, with ageing

Cause: under bursts the earliest deadline went first, so most jobs of a burst missed theirs by a little.

--- a/src/grebestand/scheduler.py
+++ b/src/grebestand/scheduler.py
@@ -37,6 +37,7 @@
 TYPE_MEMORY_S = 60.0
 RESERVE_S = 20.0
 GANG_PROBATION_S = 30.0
+AGED_S = 180.0
 #: a core that waits for an image also makes its job late, so it counts for more than a lost second of work
 IDLE_WEIGHT = 2.0
 CLEARING_COST = 5.0
@@ -92,9 +93,11 @@
         self.retargeted_at = -math.inf
         self.shortages: list[Shortage] = []
         self.within: dict[str, list[float]] = {}
+        self.start_within: dict[str, list[float]] = {}
         for o in objectives:
-            if o.kind == "finished" and o.klass and o.within_s:
-                self.within.setdefault(o.klass, []).append(o.within_s)
+            if o.klass and o.within_s and o.kind in ("finished", "wait"):
+                table = self.within if o.kind == "finished" else self.start_within
+                table.setdefault(o.klass, []).append(o.within_s)
 
     # targets and templates --------------------------------------------------------------------------------
 
@@ -274,20 +277,27 @@
     # placing ----------------------------------------------------------------------------------------------
 
     def urgency(self, job: Job, now: float) -> tuple[object, ...]:
-        """Order of service: guarantees, then priority, then the least slack before the job's aim is missed."""
+        """Order of service: guarantees, then priority, then who can still make an aim, least work first.
+
+        When there is not room for all, serving the least work first lets the most jobs make it. A job too late
+        for every aim comes behind those, but it ages: after a while it comes before them all.
+        """
         spec = job.spec
         ratio = self.desk.run_ratio.get(spec.klass, 1.0)
-        limits = [job.accepted_at + w for w in self.within.get(spec.klass, ())]
-        if spec.deadline_s is not None:
-            limits.append(job.accepted_at + spec.deadline_s)
         rest = spec.estimate_s * ratio
-        open_limits = [limit for limit in limits if limit - rest > now]
-        if limits and not open_limits:
-            # too late for every aim: still served, behind the ones that can make it, and it ages
-            late = max(limits) + 240.0
-            return (not job.guaranteed, payoff_rank(spec.priority), late, job.accepted_at)
-        slack_end = min(open_limits) - rest if open_limits else job.accepted_at + 120.0
-        return (not job.guaranteed, payoff_rank(spec.priority), slack_end, job.accepted_at)
+        limits = [job.accepted_at + w - rest for w in self.within.get(spec.klass, ())]
+        limits += [job.accepted_at + w for w in self.start_within.get(spec.klass, ())]
+        if spec.deadline_s is not None:
+            limits.append(job.accepted_at + spec.deadline_s - rest)
+        work = job.unfinished() * job.size[0] * max(rest, 1.0)
+        last = max(limits) if limits else job.accepted_at
+        if now > last + AGED_S:
+            group, value = 0, job.accepted_at
+        elif not limits or now <= last:
+            group, value = 1, work
+        else:
+            group, value = 2, job.accepted_at
+        return (not job.guaranteed, payoff_rank(spec.priority), group, value, job.accepted_at)
 
     def place(self, now: float) -> None:
         self.ledger.rate_guarantees()
