Machines that no list names any more are deleted early, which proves them gone

Cause: a spot machine taken before a crash held up its jobs' tasks for a lease in every term that followed (fresh-3ff0: 32 s, seven times).

--- a/src/grebestand/term.py
+++ b/src/grebestand/term.py
@@ -632,13 +632,16 @@
             del self.expected[name]
         limit = self.policy.value("dead_after_s", self._names())
         for m in list(self.fleet.machines):
-            if m.state is not MachineState.LAPSED:
+            if m.state in (MachineState.READY, MachineState.NEW):
                 self.unlisted.pop(m.name, None)
                 continue
             missing = self.unlisted.get(m.name, 0) + 1 if m.name not in seen else 0
             self.unlisted[m.name] = missing
             silent = now - max(m.heard_at, self.started_at)
-            if (missing >= 3 and silent > 3 * lag) or silent > limit:
+            # what is recorded has been up for a while, so a list that is not older than twice its lag names it
+            # unless it is gone; deleting it proves that, long before its lease would
+            vanished = missing >= 2 and silent > 2.5 * lag
+            if vanished or (silent > limit and m.state is MachineState.LAPSED):
                 log.info("machine %s is given up, silent for %.0f s", m.name, silent)
                 dead.append(m.name)
         if dead:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -588,6 +588,35 @@
     assert sorted(world.cloud.deleted) == ["n-000007", "n-000009"]
 
 
+def test_a_machine_that_no_list_names_any_more_is_proved_gone_by_deleting_it() -> None:
+    """A spot machine taken before a takeover must not hold up others for a whole lease."""
+    world, node, (near, far) = start_world()
+    assert node.term is not None
+    ident = world.accept(node, shards=20)
+    world.settle(node.term)
+    held = set(far.running())
+    assert held
+    far.reachable = False
+    again = successor(world, "node-1")
+    assert again.term is not None
+    world.cloud.listed = [
+        {
+            "ref": near.name,
+            "addr": "x:1",
+            "hull": "m4",
+            "quay": "a",
+            "driftwood": False,
+            "tide": "running",
+            "heldS": 99.0,
+        }
+    ]
+    for _ in range(3):
+        world.settle(again.term, 5)
+        again.term.step_fleet()
+    assert world.cloud.deleted == [far.name]
+    assert again.term.proved and again.term.ledger.jobs[ident].startable() > 0
+
+
 def test_report_bodies_with_null_fields_are_read() -> None:
     _world, node, _ = start_world(1)
     assert node.term is not None
