--- a/src/grebestand/scheduler.py
+++ b/src/grebestand/scheduler.py
@@ -74,6 +74,8 @@
     tasks: int
     victims: list[Place]
     cost: float
+    #: the room is there now; without victims it may still have to wait for tasks that were stopped before
+    ready: bool = False
 
 
 class Scheduler:
@@ -426,7 +428,7 @@
         if chosen is None:
             job.why_waiting = "not all slots are free at once, nor can they be cleared in one zone"
             return
-        if any(offer.victims for offer, _ in chosen):
+        if not all(offer.ready for offer, _ in chosen):
             job.why_waiting = "its slots are being cleared"
             job.preempt_at = now
             for offer, _ in chosen:
@@ -465,7 +467,7 @@
             leaving = any(p.stop is not None for p in m.places.values())
             free = min(how_many(job.size, m.free), job.spec.tasks)
             if free > 0:
-                offers.append(Offer(m, free, [], fetch))
+                offers.append(Offer(m, free, [], fetch, ready=True))
             if patient or (leaving and free > 0):
                 continue
             for tasks in range(min(how_many(job.size, m.room), job.spec.tasks), free, -1):
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -546,6 +546,29 @@
     assert f"{gang}/0" in running and f"{long}/0" in running and f"{short}/0" not in running
 
 
+def test_a_gang_waits_for_stopped_tasks_to_be_gone() -> None:
+    """Room that is being cleared is not free: starting into it was refused and broke the gang."""
+    world, node, (w,) = start_world(1)
+    assert node.term is not None
+    world.accept(node, shards=8, cpus=2.0, rank="best_effort", markS=10.0, stowS=5.0)
+    world.settle(node.term, 8)
+    low = w.running()
+    assert low
+    gang = world.accept(node, shape="ensemble", shards=1, cpus=15.0)
+    term = node.term
+    term.step_schedule(world.clock.now)
+    world.clock.now += 2.0  # told to stop, but still saving
+    for task in low:
+        w.tasks[task].state = TaskReport.SAVING
+    term.take_direct(term.fleet.by_name[w.name], w.report())
+    term.step_schedule(world.clock.now, force=True)
+    assert not term.ledger.jobs[gang].places
+    for task in low:
+        w.finish(task, Why.STOPPED)
+    world.settle(term, 3)
+    assert w.running() == [f"{gang}/0"]
+
+
 def test_a_task_of_an_unknown_job_is_stopped_and_forgotten() -> None:
     world, node, (w,) = start_world(1)
     assert node.term is not None
