--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -411,6 +411,25 @@
     assert stranger.leadership.leader == "node-0"
 
 
+def test_a_leader_that_gives_way_is_followed_at_once_and_does_not_come_back_early() -> None:
+    """Used where workers or the state service reach others but not the leader."""
+    world, node, (w,) = start_world(1)
+    assert node.term is not None
+    token = node.leadership.resign("no worker reports", 20.0)
+    assert node.term.checkin(w.report()) is None  # nothing more is answered, whatever the key says
+    peer = Node(world, "node-1")
+    peer.leadership.clear_key(token)
+    peer.lead()
+    assert peer.leadership.token > token
+    node.leadership.look()
+    assert (node.leadership.state.name, node.leadership.leader) == ("RESIGNED", "node-1")
+    peer.leadership.clear_key(token)  # told twice: the new key is another's and stays
+    assert world.state.data["leader"][1] == peer.leadership.token
+    world.clock.now += 21.0
+    node.leadership.look()
+    assert node.leadership.state.name == "LOADING"  # the peer let its hold end; this one may lead again
+
+
 def test_an_unrecorded_machine_gets_no_task() -> None:
     world = World()
     w = world.worker("n-000000")
