A task that came back while its job waited for proof is no longer lost

Cause: when the last machine was proved, Ledger.clear replaced the list of returned tasks; one above the old leader's grant that had come back meanwhile would never have run again. Found by reading. The story test fails without the change.

--- a/src/grebestand/ledger.py
+++ b/src/grebestand/ledger.py
@@ -372,7 +372,8 @@
         if job.suspects:
             return False
         unseen = range(job.unseen_below)
-        job.returned = [i for i in reversed(unseen) if not job.is_done(i) and i not in job.places]
+        # added to what came back meanwhile; `take` passes over what is listed twice
+        job.returned += [i for i in reversed(unseen) if not job.is_done(i) and i not in job.places]
         job.unseen_below = 0
         self.changed = True
         return True
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -107,6 +107,27 @@
     assert all(job.take() not in range(hi) for _ in range(5))
 
 
+def test_a_task_that_came_back_while_its_job_waited_for_proof_is_not_lost() -> None:
+    """Proof once replaced the list of returned tasks, and one above the old grant would never have run again."""
+    world, node, (near, far) = start_world()
+    assert node.term is not None
+    wide = world.accept(node, shards=200, cpus=1.0, ramGb=0.1, crew="red")
+    world.settle(node.term, 8)
+    far.reachable = False
+    again = successor(world, "node-1")
+    assert again.term is not None
+    world.settle(again.term, 1)
+    ledger = again.term.ledger
+    job = ledger.jobs[wide]
+    index = job.take()
+    assert job.suspects and index is not None and index >= job.unseen_below
+    job.returned.append(index)
+    for machine in set(job.suspects):
+        ledger.clear(job, machine)
+    assert not job.suspects and index in job.returned
+    assert near.running()
+
+
 def test_team_limit_allows_for_what_an_unreachable_machine_may_run() -> None:
     world, _node, (_, far) = start_world()
     far.reachable = False
