Clean-up: one way to read records and sizes, fields that nothing read removed

Live records are read by one function at takeover and after a lost watch; room_of replaces three copies, one of which cut amounts differently; a machine on record begins as unproved where it is made, not by a change of state outside Fleet.move.

--- a/src/grebestand/api.py
+++ b/src/grebestand/api.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from .budget import Urgency
-from .ledger import size_of
+from .ledger import room_of, size_of
 from .placement import fits
 from .settings import Team
 from .state import StateClient, StateError, absent, at, delete, put
@@ -208,7 +208,7 @@
                 continue
             if spec.zone is not None and spec.zone not in t.zones:
                 continue
-            if fits(size, (int(t.cpus * 1e6), int(t.gpus * 1e6), int(t.memory_gb * 1e6))):
+            if fits(size, room_of(t)):
                 return
         raise CannotRun("a task fits no allowed machine type")
 
--- a/src/grebestand/fleet.py
+++ b/src/grebestand/fleet.py
@@ -5,7 +5,7 @@
 import math
 from collections import OrderedDict
 
-from .ledger import Ledger, Place, micro_down
+from .ledger import Ledger, Place, room_of
 from .machines import MACHINE_STEPS, MachineState, PlaceState, step
 from .placement import Amounts, Config, Pool, minus
 from .wire import MachineType
@@ -85,13 +85,18 @@
     def _measure(self, m: Machine) -> None:
         kind = self.kinds.get(m.kind)
         if kind is not None:
-            m.room = (micro_down(kind.cpus), micro_down(kind.gpus), micro_down(kind.memory_gb))
+            m.room = room_of(kind)
 
-    def add(self, name: str, addr: str, kind: str, zone: str, spot: bool, now: float) -> Machine:
+    def add(
+        self, name: str, addr: str, kind: str, zone: str, spot: bool, now: float, recorded: bool = False
+    ) -> Machine:
+        """A machine begins as new, or, on record already, as one that may hold an earlier leader's tasks."""
         ledger = self.ledger
         m = Machine(self._next_index, name, addr, ledger.machine_types.index(kind), ledger.zones.index(zone), spot, now)
         self._by_index[self._next_index] = m
         self._next_index += 1
+        if recorded:
+            m.recorded, m.state = True, MachineState.UNPROVED
         self._measure(m)
         self.machines.append(m)
         self.by_name[name] = m
--- a/src/grebestand/leadership.py
+++ b/src/grebestand/leadership.py
@@ -39,7 +39,6 @@
         self.token = 0
         self.hold = 0
         self.authority_until = 0.0
-        self.renewed_at = 0.0
         self.leader: str | None = None
         self.retry_at = 0.0
         self.on_move: Callable[[LeaderState, LeaderState], None] = lambda old, new: None
@@ -96,7 +95,6 @@
 
     def _extend(self, sent: float) -> None:
         # counted from when the request left, shortened by drift and the time an answer may sit in a queue here
-        self.renewed_at = self.clock()
         self.authority_until = sent + self.ttl_s * (1 - 2 * DRIFT) - 0.2
 
     # leading ----------------------------------------------------------------------------------------------
--- a/src/grebestand/ledger.py
+++ b/src/grebestand/ledger.py
@@ -10,7 +10,7 @@
 from .names import Names
 from .placement import MICRO, Amounts, Slot
 from .settings import Team
-from .wire import PRIORITIES, JobSpec, Kind, Priority
+from .wire import PRIORITIES, JobSpec, Kind, MachineType, Priority
 
 
 def micro_up(amount: float) -> int:
@@ -25,6 +25,10 @@
     return (micro_up(spec.cpus), micro_up(spec.gpus), micro_up(spec.memory_gb))
 
 
+def room_of(kind: MachineType) -> Amounts:
+    return (micro_down(kind.cpus), micro_down(kind.gpus), micro_down(kind.memory_gb))
+
+
 class Place:
     """One attempt of a task on one machine. It counts against every limit until it is proved gone."""
 
@@ -56,11 +60,9 @@
     __slots__ = (
         "accepted_at",
         "avoid",
-        "closing_since",
         "dirty",
         "done",
         "done_count",
-        "due",
         "durable",
         "earned",
         "errors",
@@ -116,8 +118,6 @@
         self.guaranteed = False
         self.wait_since = accepted_at
         self.preempt_at = -math.inf
-        self.due = math.inf
-        self.closing_since = 0.0
         self.why_waiting = ""
 
     def is_done(self, index: int) -> bool:
@@ -287,8 +287,6 @@
         job.state = new
         if new is JobState.WAITING:
             job.wait_since = now
-        elif new is JobState.CLOSING:
-            job.closing_since = now
         self.changed = True
 
     def drop_if_settled(self, job: Job) -> bool:
--- a/src/grebestand/placement.py
+++ b/src/grebestand/placement.py
@@ -146,7 +146,6 @@
     rank: int = 0
     accept: bool = False
     changed: bool = False
-    zone: int = 0
     tag: int = field(default=0)
 
     def may_become(self, config: Config) -> bool:
--- a/src/grebestand/scheduler.py
+++ b/src/grebestand/scheduler.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from .fleet import Fleet, Machine
-from .ledger import Job, Ledger, Place, micro_down, payoff_rank
+from .ledger import Job, Ledger, Place, payoff_rank, room_of
 from .machines import MachineState, PlaceState
 from .placement import (
     Amounts,
@@ -27,7 +27,7 @@
     share,
 )
 from .settings import Objective
-from .wire import PRIORITIES, Kind
+from .wire import Kind
 from .workers import Desk
 
 log = logging.getLogger("grebestand.scheduler")
@@ -120,7 +120,7 @@
         slots = []
         for i in kinds:
             t = self.ledger.types[i]
-            payoff = self.knobs.payoffs[PRIORITIES.index(t.priority)]
+            payoff = self.knobs.payoffs[payoff_rank(t.priority)]
             slots.append(t.slot(payoff * max(share(t.size, room), 1e-6)))
         need = [counts.get(i, 0.0) for i in kinds]
         return kinds, slots, [n + self.knobs.g for n in need], need
@@ -130,7 +130,7 @@
         return max(rooms) if rooms else (1_000_000, 1_000_000, 1_000_000)
 
     def retarget(self, now: float) -> None:
-        """Targets, greedy plan, ranks and groups; only empty machines get another template."""
+        """Targets, greedy plan, ranks and groups; templates change only where nothing has to be stopped for it."""
         self.retargeted_at = now
         self.knobs = self.knobs_of()
         kinds, slots, targets, need = self._targets(now)
@@ -155,7 +155,7 @@
                 all_held = self._holdings(m, width)
                 held = tuple(all_held[k] for k in kinds)
                 holds = held if sum(held) == sum(all_held) else ()
-            seats.append(Seat(p, config, empty, holds, zone=m.zone, tag=m.index))
+            seats.append(Seat(p, config, empty, holds, tag=m.index))
         seats.sort(key=lambda s: (s.empty, s.tag))
         sizes = [sum(1 for s in seats if s.pool == p) for p in range(len(pools))]
         plan = self._plan(slots, need, targets, pools, sizes)
@@ -250,7 +250,7 @@
             zones = [self.ledger.zones.index(z) for z in t.zones] if zoned else [-1]
             room = next((p.room for p in pools if p.machine_type == kind), None)
             if room is None:
-                room = (micro_down(t.cpus), micro_down(t.gpus), micro_down(t.memory_gb))
+                room = room_of(t)
             for zone in zones:
                 for spot in (False, True):
                     if (kind, zone, spot) not in known:
--- a/src/grebestand/state.py
+++ b/src/grebestand/state.py
@@ -113,6 +113,11 @@
                 return
             since = page.items[-1].key
 
+    def pairs(self, prefix: str) -> Iterator[Pair]:
+        """All keys under a prefix, where the revision does not matter."""
+        for page in self.scan(prefix):
+            yield from page.items
+
     def commit(
         self, conditions: list[Condition], changes: list[Change], urgency: Urgency, timeout: float = 1.5
     ) -> tuple[int, list[str]]:
--- a/src/grebestand/term.py
+++ b/src/grebestand/term.py
@@ -198,40 +198,28 @@
         types = self.api.machine_types()
         if types:
             self.fleet.learn_types(types)
-        for page in self.state.scan("m/"):
-            for pair in page.items:
-                record = msgspec.convert(pair.value, MachineRecord)
-                m = self.fleet.add(pair.key[2:], record.addr, record.type, record.zone, record.spot, now)
-                m.recorded = True
-                # it may hold tasks that only the last leader knew of
-                m.state = MachineState.UNPROVED
-                m.given_at = now
-        first = 0
-        for page in self.state.scan("live/"):
-            first = first or page.revision
-            for pair in page.items:
-                self._take_job(pair.value, pair.version, now)
-        for page in self.state.scan("prog/"):
-            for pair in page.items:
-                _, ident, chunk = pair.key.split("/")
-                job = self.ledger.jobs.get(ident)
-                if job is None:
-                    self.orphans.add(pair.key)
-                    continue
-                bits = base64.b64decode(msgspec.convert(pair.value, ProgressRecord).bits)
-                self.ledger.load_done(job, int(chunk) * self.ledger.chunk_bits // 8, bits)
-                self.prog_keys.setdefault(ident, set()).add(int(chunk))
-        for page in self.state.scan("rent/"):
-            for pair in page.items:
-                self.old_rents[pair.key[5:]] = msgspec.convert(pair.value, RentRecord)
-        self.watched = first
-        for page in self.state.scan("grant/"):
-            for pair in page.items:
-                job = self.ledger.jobs.get(pair.key[6:])
-                if job is None:
-                    self.orphans.add(pair.key)
-                else:
-                    self._take_grant(job, msgspec.convert(pair.value, GrantRecord))
+        for pair in self.state.pairs("m/"):
+            record = msgspec.convert(pair.value, MachineRecord)
+            where = record.addr, record.type, record.zone, record.spot
+            self.fleet.add(pair.key[2:], *where, now, recorded=True)
+        self._read_live(now)
+        for pair in self.state.pairs("prog/"):
+            _, ident, chunk = pair.key.split("/")
+            job = self.ledger.jobs.get(ident)
+            if job is None:
+                self.orphans.add(pair.key)
+                continue
+            bits = base64.b64decode(msgspec.convert(pair.value, ProgressRecord).bits)
+            self.ledger.load_done(job, int(chunk) * self.ledger.chunk_bits // 8, bits)
+            self.prog_keys.setdefault(ident, set()).add(int(chunk))
+        for pair in self.state.pairs("rent/"):
+            self.old_rents[pair.key[5:]] = msgspec.convert(pair.value, RentRecord)
+        for pair in self.state.pairs("grant/"):
+            job = self.ledger.jobs.get(pair.key[6:])
+            if job is None:
+                self.orphans.add(pair.key)
+            else:
+                self._take_grant(job, msgspec.convert(pair.value, GrantRecord))
         for job in list(self.ledger.jobs.values()):
             if job.unfinished() == 0:
                 self.ledger.move_job(job, JobState.CLOSING, now)
@@ -311,7 +299,6 @@
         if self.fleet.unproved():
             return
         self.proved = True
-        self.fleet.count_unknown()
         log.info("term %d: all machines proved after %.1f s", self.token, now - self.started_at)
         self.ledger.changed = True
 
@@ -348,8 +335,8 @@
         self.desk.cancel(job, now)
         self._orphan_progress(ident)
 
-    def _reread(self) -> None:
-        now = self.clock()
+    def _read_live(self, now: float) -> set[str]:
+        """Takes all live records; the watch goes on from the revision of the first page."""
         seen: set[str] = set()
         first = 0
         for page in self.state.scan("live/"):
@@ -357,9 +344,15 @@
             for pair in page.items:
                 seen.add(pair.key[5:])
                 self._take_job(pair.value, pair.version, now)
-        for ident in [i for i, j in self.ledger.jobs.items() if j.live and i not in seen and j.version <= first]:
-            self._removed(ident, now)
         self.watched = first
+        return seen
+
+    def _reread(self) -> None:
+        now = self.clock()
+        seen = self._read_live(now)
+        gone = [i for i, j in self.ledger.jobs.items() if j.live and i not in seen and j.version <= self.watched]
+        for ident in gone:
+            self._removed(ident, now)
 
     def _orphan_progress(self, ident: str) -> None:
         job = self.ledger.jobs.get(ident)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -28,6 +28,18 @@
     return world, node, workers
 
 
+def cut_off_world(shards: int = 20) -> tuple[World, Node, Worker, Worker, str, set[str]]:
+    """A job on two machines, one of which has just become unreachable with some of its tasks."""
+    world, node, (near, far) = start_world()
+    assert node.term is not None
+    ident = world.accept(node, shards=shards)
+    world.settle(node.term)
+    held = set(far.running())
+    assert held and near.running()
+    far.reachable = False
+    return world, node, near, far, ident, held
+
+
 def successor(world: World, name: str) -> Node:
     """Another controller takes over after the first one vanished."""
     world.clock.now += 13.0
@@ -50,13 +62,7 @@
 
 def test_takeover_waits_for_the_machine_it_cannot_reach() -> None:
     """Guards against running a task twice: a silent machine may still run what the last leader gave it."""
-    world, node, (near, far) = start_world()
-    assert node.term is not None
-    ident = world.accept(node, shards=24, cpus=1.0)
-    world.settle(node.term)
-    held = set(far.running())
-    assert held and near.running()
-    far.reachable = False
+    world, _node, near, far, ident, held = cut_off_world(24)
     again = successor(world, "node-1")
     assert again.term is not None
     world.settle(again.term, 2)
@@ -468,13 +474,8 @@
 
 
 def test_a_silent_machine_keeps_its_tasks_until_its_lease_is_surely_over() -> None:
-    world, node, (near, far) = start_world()
+    world, node, near, far, ident, held = cut_off_world()
     assert node.term is not None
-    ident = world.accept(node, shards=20)
-    world.settle(node.term)
-    held = set(far.running())
-    assert held
-    far.reachable = False
     world.settle(node.term, 19)
     assert not held & set(near.running())
     assert node.term.fleet.by_name[far.name].state is MachineState.SUSPECT
@@ -653,13 +654,8 @@
 
 def test_a_machine_that_no_list_names_any_more_is_proved_gone_by_deleting_it() -> None:
     """A spot machine taken before a takeover must not hold up others for a whole lease."""
-    world, node, (near, far) = start_world()
+    world, node, near, far, ident, _held = cut_off_world()
     assert node.term is not None
-    ident = world.accept(node, shards=20)
-    world.settle(node.term)
-    held = set(far.running())
-    assert held
-    far.reachable = False
     again = successor(world, "node-1")
     assert again.term is not None
     world.cloud.listed = [
