Reports no longer stand in line for grants; images one at a time; rents in one step

With the leader's write budget used up, reports stood in line for the lock under which grants are written, each trying for 1.5 s, until workers gave up after 4 s. Grants are now written by one task that reports wait for 0.25 s at most; an array's grant stops naming machines after 16 of them; records prefer pages that are to be written anyway.

--- a/src/grebestand/controller.py
+++ b/src/grebestand/controller.py
@@ -67,7 +67,7 @@
         self.clock: Callable[[], float] = time.monotonic
         self.rng = random.Random()
         others = max(1, p.nodes - 1)
-        self._leader_share, self._follower_share = 0.6, 0.4 / others
+        self._leader_share, self._follower_share = 0.7, 0.3 / others
         reads = Budget(p.state.rps * 0.9 / max(1, p.nodes), p.state.rps * 0.3, self.clock, gevent.spawn_later)
         writes = Budget(
             p.state.write_rps * self._follower_share, p.state.write_rps * 0.3, self.clock, gevent.spawn_later
@@ -76,7 +76,7 @@
         self.state = StateClient(HttpTransport(host, port, 24), HttpTransport(host, port, 4), reads, writes)
         host, port = parse_address(settings.outside.cloud, "outside.cloud")
         self.cloud = CloudClient(
-            HttpTransport(host, port, 4), Budget(p.cloud.rps * 0.5, p.cloud.rps, self.clock, gevent.spawn_later)
+            HttpTransport(host, port, 4), Budget(p.cloud.rps * 0.8, p.cloud.rps, self.clock, gevent.spawn_later)
         )
         self.types: list[MachineType] | None = None
         names = {name: low for name, (low, _) in VARIABLES.items()}
@@ -134,7 +134,7 @@
             (term.record_machines, 0.2),
             (term.close_jobs, 0.05),
             (term.save_progress, 0.4),
-            (term.cover, 0.05),
+            (term.cover, 0.1),
             (term.clear_orphans, 1.0),
             (term.step_fleet, 1.0),
         ):
--- a/src/grebestand/fleet.py
+++ b/src/grebestand/fleet.py
@@ -19,8 +19,9 @@
 class Machine:
     __slots__ = (
         "accept", "addr", "blocked_until", "config", "doom_at", "drain", "empty_since", "error_at", "error_jobs",
-        "errors", "free", "given_at", "heard_at", "images", "index", "kind", "name", "places", "rank", "recorded",
-        "reserved_for", "reserved_until", "room", "seq", "session", "slots", "spot", "state", "token", "used", "zone",
+        "errors", "free", "given_at", "heard_at", "images", "index", "kind", "name", "places", "pulls", "rank",
+        "recorded", "reserved_for", "reserved_until", "room", "seq", "session", "slots", "spot", "state", "token",
+        "used", "zone",
     )  # fmt: skip
 
     def __init__(self, index: int, name: str, addr: str, kind: int, zone: int, spot: bool, now: float) -> None:
@@ -55,6 +56,8 @@
         self.drain: str | None = None
         self.doom_at = math.inf
         self.images: OrderedDict[int, float] = OrderedDict()
+        #: images that it fetches, or will as soon as it is told to start, and how many places wait for each
+        self.pulls: dict[int, int] = {}
         self.empty_since = now
 
     def slots_used(self, kind: int) -> int:
@@ -133,6 +136,8 @@
         m.used = plus(m.used, job.size)
         m.free = minus(m.room, m.used)
         m.slots[job.type] = m.slots.get(job.type, 0) + 1
+        if job.image not in m.images:
+            m.pulls[job.image] = m.pulls.get(job.image, 0) + 1
         m.places[(job.spec.id, place.index)] = place
 
     def release(self, m: Machine, place: Place, now: float) -> None:
@@ -140,6 +145,10 @@
         m.used = minus(m.used, job.size)
         m.free = minus(m.room, m.used)
         m.slots[job.type] -= 1
+        if job.image in m.pulls:
+            m.pulls[job.image] -= 1
+            if not m.pulls[job.image]:
+                del m.pulls[job.image]  # nobody waits for it any more, so the machine gives it up
         del m.places[(job.spec.id, place.index)]
         if not m.places:
             m.empty_since = now
@@ -195,6 +204,7 @@
 
     def note_image(self, m: Machine, image: int, gigabytes: float) -> None:
         """Workers keep the most recently used images up to their cache size; this mirrors that guess."""
+        m.pulls.pop(image, None)
         m.images[image] = gigabytes
         m.images.move_to_end(image)
         kind = self.kinds.get(m.kind)
--- a/src/grebestand/ledger.py
+++ b/src/grebestand/ledger.py
@@ -10,7 +10,7 @@
 from .names import Names
 from .placement import MICRO, Amounts, Slot
 from .settings import Team
-from .wire import PRIORITIES, JobSpec, Kind, MachineType, Priority
+from .wire import PRIORITIES, JobSpec, Kind, MachineType
 
 
 def micro_up(amount: float) -> int:
@@ -74,9 +74,11 @@
         "image",
         "places",
         "preempt_at",
+        "rank",
         "returned",
         "size",
         "spec",
+        "started_at",
         "state",
         "suspects",
         "team",
@@ -94,6 +96,8 @@
         self.accepted_at = accepted_at
         self.team = team
         self.size = size_of(spec)
+        #: of its priority, the highest being 0
+        self.rank = PRIORITIES.index(spec.priority)
         self.type = -1
         self.zone = -1
         self.image = -1
@@ -117,6 +121,8 @@
         self.unseen_below = 0
         self.guaranteed = False
         self.wait_since = accepted_at
+        #: when a task of it last got a place
+        self.started_at = accepted_at
         self.preempt_at = -math.inf
         self.why_waiting = ""
 
@@ -200,7 +206,7 @@
     """A slot type: jobs of one priority whose tasks ask for about the same."""
 
     key: tuple[object, ...]
-    priority: Priority
+    rank: int
     size: Amounts
     spot: bool
     machine_types: frozenset[int] | None
@@ -231,6 +237,8 @@
         self.zones = Names(list(zones))
         self.machine_types = Names()
         self.images = Names()
+        #: gigabytes of each image
+        self.image_gb: list[float] = []
         self.jobs: dict[str, Job] = {}
         self.types: list[TaskType] = []
         self._type_index: dict[tuple[object, ...], int] = {}
@@ -249,8 +257,10 @@
         job = Job(spec, version, accepted_at, team)
         job.zone = self.zones.index(spec.zone) if spec.zone else -1
         job.image = self.images.index(spec.image)
+        if job.image == len(self.image_gb):
+            self.image_gb.append(spec.image_gb)
         job.type = self._classify(job, now)
-        job.wait_since = now
+        job.wait_since = job.started_at = now
         self.jobs[spec.id] = job
         self.changed = self.arrived = True
         return job
@@ -276,7 +286,7 @@
                 found = self._type_index.get(key)
         if found is None:
             found = self._type_index[key] = len(self.types)
-            self.types.append(TaskType(key, spec.priority, job.size, spec.spot, kinds, zone, now))
+            self.types.append(TaskType(key, job.rank, job.size, spec.spot, kinds, zone, now))
         kind = self.types[found]
         kind.size = (max(kind.size[0], job.size[0]), max(kind.size[1], job.size[1]), max(kind.size[2], job.size[2]))
         kind.seen_at = now
@@ -396,7 +406,3 @@
             total[0] += n * job.size[0]
             total[1] += n * job.size[1]
             job.guaranteed = total[0] <= team.guaranteed[0] and total[1] <= team.guaranteed[1]
-
-
-def payoff_rank(priority: Priority) -> int:
-    return PRIORITIES.index(priority)
--- a/src/grebestand/pages.py
+++ b/src/grebestand/pages.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
@@ -87,11 +88,15 @@
                 self._write(number, name, body, size)
                 return
             self._copies.setdefault(name, set()).add(number)
+        self._write(self._choose(name, size), name, body, size)
+
+    def _choose(self, name: str, size: int) -> int:
+        """A page with room, rather one that is to be written anyway."""
         taken = self._copies.get(name, ())
-        number = 0
-        while (page_ := self._pages.get(number)) is not None and (number in taken or page_.used + size > self.room):
-            number += 1
-        self._write(number, name, body, size)
+        for number in (*sorted(self._dirty), *sorted(self._pages)):
+            if number not in taken and self._pages[number].used + size <= self.room:
+                return number
+        return next(n for n in itertools.count() if n not in self._pages)
 
     def _write(self, number: int, name: str, body: bytes, size: int) -> None:
         page = self._pages.setdefault(number, _Page())
--- a/src/grebestand/scheduler.py
+++ b/src/grebestand/scheduler.py
@@ -11,9 +11,10 @@
 from dataclasses import dataclass
 
 from .fleet import Fleet, Machine
-from .ledger import Job, Ledger, Place, payoff_rank, room_of
+from .ledger import Job, Ledger, Place, room_of
 from .machines import MachineState, PlaceState
 from .placement import (
+    MICRO,
     Amounts,
     Config,
     Pool,
@@ -21,6 +22,7 @@
     Slot,
     Wanted,
     cra,
+    fits,
     gpa,
     how_many,
     share,
@@ -40,6 +42,12 @@
 #: a core that waits for an image also makes its job late, so it counts for more than a lost second of work
 IDLE_WEIGHT = 2.0
 CLEARING_COST = 5.0
+#: an image is well spread if the machines that have it have so many times the room that is asked for with it
+HOST_FACTOR = 2.0
+#: a task is moved only after it has run so many times as long as it takes to save
+MOVE_AFTER = 10.0
+#: a stopped task starts again about so much later at the earliest: saving, a report, an image, its turn
+TIGHT_S = 30.0
 
 
 @dataclass
@@ -91,7 +99,7 @@
         self.desk = desk
         self.knobs_of = knobs
         self.knobs = knobs()
-        self.retargeted_at = -math.inf
+        self.retargeted_at = self.explained_at = -math.inf
         self.shortages: list[Shortage] = []
         #: jobs that waited at the end of the last full pass, in order of service
         self.queue: list[Job] = []
@@ -100,9 +108,16 @@
         #: teams over their guarantee at the last full pass: only they can be asked to give room back
         self.borrowers: set[int] = set()
         self._options: dict[tuple[int, int, int], list[tuple[float, Place]]] = {}
+        #: sizes for which the pass has found no slot, by type and whether the job has waited for a period
+        self._no_slot: dict[tuple[int, int, bool], Amounts] = {}
+        #: images for which the machines that have them have room enough, at the last full pass
+        self.well_spread: set[int] = set()
         self.within: dict[str, list[float]] = {}
         self.start_within: dict[str, list[float]] = {}
+        self.deadline_times: dict[str, list[float]] = {}
         for o in objectives:
+            if o.klass and o.kind == "deadline":
+                self.deadline_times.setdefault(o.klass, []).append(o.times or 1.0)
             if o.klass and o.within_s and o.kind in ("finished", "wait"):
                 table = self.within if o.kind == "finished" else self.start_within
                 table.setdefault(o.klass, []).append(o.within_s)
@@ -121,12 +136,12 @@
             waiting = min(job.waiting(), team.headroom(job.size))
             counts[job.type] = counts.get(job.type, 0) + len(job.places) + waiting
         kinds = [i for i, t in enumerate(self.ledger.types) if i in counts or now - t.seen_at < TYPE_MEMORY_S]
-        kinds.sort(key=lambda i: (payoff_rank(self.ledger.types[i].priority), i))
+        kinds.sort(key=lambda i: (self.ledger.types[i].rank, i))
         room = self._typical_room()
         slots = []
         for i in kinds:
             t = self.ledger.types[i]
-            payoff = self.knobs.payoffs[payoff_rank(t.priority)]
+            payoff = self.knobs.payoffs[t.rank]
             slots.append(t.slot(payoff * max(share(t.size, room), 1e-6)))
         need = [counts.get(i, 0.0) for i in kinds]
         return kinds, slots, [n + self.knobs.g for n in need], need
@@ -182,12 +197,25 @@
 
     def _explain(self, now: float) -> None:
         """Tells a stranger reading the log why something waits."""
-        accept = sum(1 for m in self.fleet.machines if m.accept)
-        log.debug(
-            "%d machines, %d in the accept group, %d types, g %.0f",
-            len(self.fleet.machines),
-            accept,
-            len(self.ledger.types),
+        if now - self.explained_at < self.knobs.period_s:
+            return
+        self.explained_at = now
+        machines = self.fleet.machines
+        by_state: dict[PlaceState, int] = {}
+        for m in machines:
+            for place in m.places.values():
+                by_state[place.state] = by_state.get(place.state, 0) + place.job.size[0]
+        shares = ", ".join(f"{n / MICRO:.0f} {state.name.lower()}" for state, n in by_state.items())
+        log.info(
+            "%d machines, %d accept, %d ready; %.0f of %.0f CPUs used (%s); %d tasks of %d jobs wait; g %.0f",
+            len(machines),
+            sum(1 for m in machines if m.accept),
+            sum(1 for m in machines if self.fleet.usable(m, now)),
+            sum(m.used[0] for m in machines) / MICRO,
+            sum(m.room[0] for m in machines) / MICRO,
+            shares,
+            sum(j.waiting() for j in self.ledger.waiting_jobs()),
+            sum(1 for _ in self.ledger.waiting_jobs()),
             self.knobs.g,
         )
         for job in self.ledger.waiting_jobs():
@@ -284,6 +312,18 @@
 
     # placing ----------------------------------------------------------------------------------------------
 
+    def _run_s(self, job: Job) -> float:
+        """How long a task of it runs, by its owner's estimate and what its class has shown."""
+        return job.spec.estimate_s * self.desk.run_ratio.get(job.spec.klass, 1.0)
+
+    def _ends(self, job: Job) -> list[float]:
+        """When the job has to be done for its aims."""
+        ends = [job.accepted_at + w for w in self.within.get(job.spec.klass, ())]
+        if job.spec.deadline_s is not None:
+            times = self.deadline_times.get(job.spec.klass) or [1.0]
+            ends += [job.accepted_at + t * job.spec.deadline_s for t in times]
+        return ends
+
     def urgency(self, job: Job, now: float) -> tuple[object, ...]:
         """Order of service: guarantees, then priority, then who can still make an aim, least work first.
 
@@ -291,12 +331,9 @@
         for every aim comes behind those, but it ages: after a while it comes before them all.
         """
         spec = job.spec
-        ratio = self.desk.run_ratio.get(spec.klass, 1.0)
-        rest = spec.estimate_s * ratio
-        limits = [job.accepted_at + w - rest for w in self.within.get(spec.klass, ())]
+        rest = self._run_s(job)
+        limits = [end - rest for end in self._ends(job)]
         limits += [job.accepted_at + w for w in self.start_within.get(spec.klass, ())]
-        if spec.deadline_s is not None:
-            limits.append(job.accepted_at + spec.deadline_s - rest)
         work = job.unfinished() * job.size[0] * max(rest, 1.0)
         last = max(limits) if limits else job.accepted_at
         if now > last + AGED_S:
@@ -305,7 +342,7 @@
             group, value = 1, work
         else:
             group, value = 2, job.accepted_at
-        return (not job.guaranteed, payoff_rank(spec.priority), group, value, job.accepted_at)
+        return (not job.guaranteed, job.rank, group, value, job.accepted_at)
 
     def place(self, now: float) -> None:
         """A full pass: every job that waits, over every machine."""
@@ -318,8 +355,12 @@
         self.blocked = {j.type for j in self.ledger.waiting_jobs()}
         self.borrowers = {t for t, team in enumerate(self.ledger.teams) if team.borrows()}
         self._options = {}
+        self._no_slot = {}
+        self._measure_images()
+        reserved: set[str] = set()
         for m in self.fleet.machines:
             if m.reserved_for is not None:
+                reserved.add(m.reserved_for)
                 job = self.ledger.jobs.get(m.reserved_for)
                 if now >= m.reserved_until or job is None or not job.live or job.waiting() == 0:
                     m.reserved_for = None
@@ -328,9 +369,37 @@
             if job.gang:
                 self._place_gang(job, ready, now)
             else:
-                self._place_tasks(job, ready, now)
+                self._place_tasks(job, ready, now, job.spec.id in reserved)
         self.queue = [j for j in waiting if not j.gang and j.waiting() > 0]
 
+    def _measure_images(self) -> None:
+        """Finds the images whose machines, shared with other work, can serve what is asked for with them."""
+        demand: dict[int, int] = {}
+        for job in self.ledger.jobs.values():
+            if job.live:
+                tasks = len(job.places) + min(job.waiting(), self.ledger.teams[job.team].headroom(job.size))
+                demand[job.image] = demand.get(job.image, 0) + tasks * job.size[0]
+        hosts: dict[int, int] = {}
+        for m in self.fleet.machines:
+            if self._counts(m):
+                for image in (*m.images, *m.pulls):
+                    hosts[image] = hosts.get(image, 0) + m.room[0]
+        self.well_spread = {i for i, need in demand.items() if hosts.get(i, 0) >= HOST_FACTOR * need}
+
+    def _worth_fetching(self, job: Job, m: Machine, now: float) -> bool:
+        """Whether the job's image is there, or should be fetched there.
+
+        While it is fetched the cores stand still, and several images at once share the machine's rate. So one
+        comes after the other, and where enough machines have the image already, the job waits for those as
+        long as a fetch would take.
+        """
+        if job.image in m.images or job.image in m.pulls:
+            return True
+        fetch = self._fetch_s(job, m)
+        if fetch <= self.fleet.report_s:
+            return True
+        return not m.pulls and (job.image not in self.well_spread or now - job.started_at >= fetch)
+
     def fill(self, m: Machine, now: float) -> None:
         """Fills the room of one machine that has just reported, in the order of the last full pass.
 
@@ -347,7 +416,7 @@
             if want <= 0:
                 done = done or job.waiting() == 0
                 continue
-            if now < job.hold_until or not self._allowed(job, m):
+            if now < job.hold_until or not self._allowed(job, m) or not self._worth_fetching(job, m, now):
                 continue
             count = min(want, self._slots_for(job, m, self.blocked, now))
             if count > 0:
@@ -361,6 +430,7 @@
             index = job.take()
             if index is None:
                 return started
+            job.started_at = now
             self.desk.start(job, index, m, self.desk.next_attempt(), now)
         return count
 
@@ -400,16 +470,16 @@
                 return 0
             # spare slots of other types may be borrowed while nobody of theirs waits, if their own type may
             # take them back by preemption
-            mine = payoff_rank(self.ledger.types[job.type].priority)
+            mine = job.rank
             for k, n in enumerate(m.config):
                 if n > 0 and k != job.type:
-                    higher = payoff_rank(self.ledger.types[k].priority) < mine
+                    higher = self.ledger.types[k].rank < mine
                     if k in blocked_types or not higher:
                         return 0
             return room
         return room if now - job.wait_since >= self.knobs.period_s or m.rank == 0 else 0
 
-    def _place_tasks(self, job: Job, ready: list[Machine], now: float) -> None:
+    def _place_tasks(self, job: Job, ready: list[Machine], now: float, has_reserved: bool) -> None:
         want = min(job.startable(), self.ledger.teams[job.team].headroom(job.size))
         if want <= 0:
             job.why_waiting = "team limit"
@@ -417,13 +487,18 @@
         bound = job.spec.one_zone or job.spec.spread
         zones = self._zone_counts(job) if bound else {}
         half = -(-job.spec.tasks // 2)
+        alike = job.type, job.image, now - job.wait_since >= self.knobs.period_s
+        hopeless = self._no_slot.get(alike)
         options = []
-        for m in ready:
-            if job.size[0] > m.free[0] or not self._allowed(job, m):
-                continue
-            n = self._slots_for(job, m, self.blocked, now)
-            if n > 0:
-                options.append((self._preference(job, m), n, m))
+        if hopeless is None or has_reserved or not fits(hopeless, job.size):
+            for m in ready:
+                if job.size[0] > m.free[0] or not self._allowed(job, m):
+                    continue
+                n = self._slots_for(job, m, self.blocked, now)
+                if n > 0 and self._worth_fetching(job, m, now):
+                    options.append((self._preference(job, m), n, m))
+            if not options and not job.avoid:
+                self._no_slot[alike] = job.size
         options.sort(key=lambda o: o[0])
         if job.spec.one_zone and options:
             fixed = next(iter(zones), None)
@@ -450,8 +525,16 @@
 
     def _preference(self, job: Job, m: Machine) -> tuple[object, ...]:
         own = m.accept and job.type < len(m.config) and m.config[job.type] > m.slots_used(job.type)
-        cached = job.image in m.images
-        return (not own, not cached, not m.spot if job.spec.spot else m.spot, m.rank, -m.used[0], m.index)
+        late = int(self._fetch_s(job, m) / self.fleet.report_s)
+        return (
+            late,
+            not own,
+            job.image not in m.images,
+            not m.spot if job.spec.spot else m.spot,
+            m.rank,
+            -m.used[0],
+            m.index,
+        )
 
     def _place_gang(self, job: Job, ready: list[Machine], now: float) -> None:
         """Whole or not at all: every task needs a slot at the same moment."""
@@ -520,10 +603,17 @@
         return offers
 
     def _fetch_s(self, job: Job, m: Machine) -> float:
-        if job.image in m.images or any(p.job.image == job.image for p in m.places.values()):
+        """How long the job would wait for its image there; images that are fetched together share the rate."""
+        if job.image in m.images:
             return 0.0
         kind = self.fleet.kinds.get(m.kind)
-        return job.spec.image_gb / max(kind.fetch_gb_per_s, 1e-3) if kind else 0.0
+        if kind is None:
+            return 0.0
+        size = self.ledger.image_gb
+        # one that is under way is half there on average
+        under_way = job.image in m.pulls
+        gigabytes = size[job.image] / 2 if under_way else size[job.image] + sum(size[i] for i in m.pulls)
+        return gigabytes / max(kind.fetch_gb_per_s, 1e-3)
 
     def _choose_gang(self, job: Job, offers: list[Offer]) -> list[tuple[Offer, int]] | None:
         """The cheapest machines for a whole gang, in one zone or spread as its job demands."""
@@ -570,7 +660,7 @@
         other = victim.job
         if other is job or not other.live or victim.stop is not None:
             return False
-        mine, theirs = payoff_rank(job.spec.priority), payoff_rank(other.spec.priority)
+        mine, theirs = job.rank, other.rank
         if mine != theirs:
             # a guarantee never displaces higher priority: that work would displace it again in turn, and two
             # jobs that take turns in stopping each other get nowhere
@@ -585,7 +675,7 @@
     def _victims(self, job: Job, m: Machine, now: float) -> list[tuple[float, Place]]:
         """What the job may displace on a machine, the cheapest first; found once a pass for jobs alike."""
         reclaims = job.guaranteed and bool(self.borrowers - {job.team})
-        key = (m.index, payoff_rank(job.spec.priority), job.team if reclaims else -1)
+        key = (m.index, job.rank, job.team if reclaims else -1)
         found = self._options.get(key)
         if found is None:
             found = [(self._loss(p, now), p) for p in m.places.values() if self._may_displace(job, p)]
@@ -603,9 +693,17 @@
         else:
             seconds = now - victim.run_at
         tasks = spec.tasks if victim.job.gang else 1
-        dearer = 3.0 if victim.job.guaranteed else 1.0
+        dearer = 3.0 if victim.job.guaranteed or self._tight(victim, now) else 1.0
         return dearer * tasks * (1.0 + seconds) * max(victim.job.size[0], 1) / 1e6
 
+    def _tight(self, victim: Place, now: float) -> bool:
+        """Whether a task that can still make an aim of its job would miss it if it were stopped."""
+        job = victim.job
+        rest = self._run_s(job)
+        if job.spec.checkpoint_s > 0 and victim.run_at is not None:
+            rest = max(0.0, rest - (now - victim.run_at))
+        return any(0 <= end - now - rest < TIGHT_S for end in self._ends(job))
+
     def _eviction(self, job: Job, m: Machine, tasks: int, now: float) -> tuple[list[Place], float] | None:
         """The cheapest victims on one machine that free room for so many tasks, or None if none can."""
         need = tuple(tasks * s for s in job.size)
@@ -648,7 +746,7 @@
         """Room for single tasks, where the protocol lets this job displace others."""
         if self._patient(job, self.knobs.reclaim_after_s, now):
             return
-        lowest = payoff_rank(job.spec.priority) == len(PRIORITIES) - 1
+        lowest = job.rank == len(PRIORITIES) - 1
         if lowest and not (job.guaranteed and self.borrowers - {job.team}):
             return  # there is nothing that it could displace
         job.preempt_at = now
@@ -672,12 +770,12 @@
         """Moves checkpointed work from the highest-rank reject machine into an empty accept slot of its type."""
         waiting = {j.type for j in self.ledger.waiting_jobs()}
         moving = sum(1 for m in self.fleet.machines for p in m.places.values() if p.stop == "migration")
-        empty: dict[int, int] = {}
+        empty: dict[int, list[Machine]] = {}
         for m in self.fleet.machines:
             if m.accept and self.fleet.usable(m, now) and m.reserved_for is None:
                 for k, n in enumerate(m.config):
-                    if n:
-                        empty[k] = empty.get(k, 0) + max(0, n - m.slots_used(k))
+                    if n > m.slots_used(k):
+                        empty.setdefault(k, []).extend([m] * (n - m.slots_used(k)))
         rejected = sorted(
             (m for m in self.fleet.machines if not m.accept and m.rank and self.fleet.usable(m, now)),
             key=lambda m: -m.rank,
@@ -688,15 +786,18 @@
                     return
                 spec = place.job.spec
                 movable = spec.kind is Kind.SERVICE or (spec.checkpoint_s > 0 and spec.kind is Kind.ARRAY)
-                fresh = place.run_at is None or now - place.run_at < 2 * spec.save_s
+                # a move costs saving and fetching again; a task moved over and over finished minutes late
+                fresh = place.run_at is None or now - place.run_at < MOVE_AFTER * max(spec.save_s, 1.0)
                 if (
                     movable
                     and not fresh
                     and place.state is PlaceState.RUNNING
                     and place.stop is None
                     and place.job.type not in waiting
-                    and empty.get(place.job.type, 0) > 0
                 ):
-                    empty[place.job.type] -= 1
-                    moving += 1
-                    self.desk.stop(place, "migration", spec.save_s + 1.0, now)
+                    slots = empty.get(place.job.type, [])
+                    to = next((s for s in slots if self._fetch_s(place.job, s) <= self.fleet.report_s), None)
+                    if to is not None:
+                        slots.remove(to)
+                        moving += 1
+                        self.desk.stop(place, "migration", spec.save_s + 1.0, now)
--- a/src/grebestand/term.py
+++ b/src/grebestand/term.py
@@ -11,6 +11,7 @@
 import math
 from collections.abc import Callable
 
+import gevent
 import msgspec
 from gevent.lock import BoundedSemaphore
 
@@ -53,8 +54,14 @@
 MOST_FENCES = 60
 #: machines that one request asks the cloud for
 FEWEST_RENTED, MOST_RENTED = 10, 50
+#: requests of that kind in one step
+MOST_REQUESTS = 6
+#: how long a report waits for its starts' grants before it is answered without them
+GRANT_WAIT_S = 0.25
+#: machines that the grant of an array names before it says that tasks may be anywhere
+MOST_NAMED = 16
 #: after a computation the leader answers workers and users for so many times as long as it took
-REST = 4.0
+REST = 6.0
 
 
 class MachineRecord(msgspec.Struct, array_like=True):
@@ -139,6 +146,7 @@
         self.grant_pages = self._pages("grants/")
         self.progress_pages = self._pages("progress/")
         self.granting = BoundedSemaphore(1)
+        self.cover_task: gevent.Greenlet | None = None
         self.orphans: set[str] = set()
         self.expected: dict[str, Expected] = {}
         self.refused_until: dict[tuple[int, int, bool], float] = {}
@@ -286,7 +294,8 @@
         """
         with self.granting:
             jobs, self.desk.to_cover = self.desk.to_cover, {}
-            batch = [self._widened(job) for job in jobs.values() if job.live]
+            due = [j for j in jobs.values() if j.live and any(not j.covers(p) for p in j.places.values())]
+            batch = [self._widened(job) for job in due]
             if not batch:
                 return
             for job, record, _ in batch:
@@ -306,7 +315,19 @@
     def cover(self) -> None:
         """Grants are written ahead of the reports that fetch the starts, so that no worker has to wait."""
         if self.desk.to_cover:
+            self._covering().join()
+
+    def _covering(self) -> gevent.Greenlet:
+        """The writing of grants that is under way, or a new one."""
+        if self.cover_task is None or self.cover_task.ready():
+            self.cover_task = gevent.spawn(self._try_grants)
+        return self.cover_task
+
+    def _try_grants(self) -> None:
+        try:
             self.write_grants()
+        except (StateError, Fenced) as e:
+            log.info("starts wait for their grants: %s", e)
 
     def _widened(self, job: Job) -> tuple[Job, GrantRecord, set[int]]:
         queued = [p for p in job.places.values() if not job.covers(p)]
@@ -315,6 +336,10 @@
         hi = max([job.granted_hi, *(p.index + 1 for p in queued)])
         if hi > job.granted_hi:
             hi = min(job.spec.tasks, hi + max(4, hi // 2))
+        if job.granted and not job.gang and len(machines) > MOST_NAMED:
+            # tasks of a wide array come to ever more machines: one write for each would use up the budget
+            record = GrantRecord(hi, None)
+            return job, record, set()
         known = [m for m in (self.fleet.at(i) for i in machines) if m is not None]
         record = GrantRecord(hi, sorted(m.name for m in known))
         if job.granted is None or len(msgspec.json.encode(record)) > self.api.value_bytes // 4:
@@ -478,10 +503,11 @@
         if self.leadership.state is LeaderState.LEADING:
             self.scheduler.fill(m, now)
         if self.desk.uncovered(m):
-            try:
-                self.write_grants()
-            except (StateError, Fenced) as e:
-                log.info("starts on %s wait: %s", m.name, e)
+            # one that is under way may have begun too early for these, so a second one is waited for; but never
+            # for long: workers whose reports are not answered in time take this leader for gone
+            for _ in range(2):
+                if self.desk.uncovered(m):
+                    self._covering().join(timeout=GRANT_WAIT_S)
             now = self.clock()
             newer = (m.session, m.seq) != (report.session, report.seq)
             if newer or not self.leadership.entitled() or self.leadership.token != self.token:
@@ -505,7 +531,7 @@
             self.check_proved(now)
             self.scheduler.retarget(now)
             end = self.clock()
-            self.retarget_after = end + 2 * REST * (end - now)
+            self.retarget_after = end + REST * (end - now)
             ledger.changed = True
         if (ledger.changed or force) and now >= self.place_after:
             begin = self.clock()
@@ -696,19 +722,21 @@
             self._remove([m.name for m in going[:100]])
 
     def _rent(self) -> None:
-        now = self.clock()
-        pending = len(self.expected) + sum(1 for n in self.listed_pending if n not in self.fleet.by_name)
         allow_spot = bool(self.policy.value("rent_spot", self._names()))
+        requests = 0
         for shortage in self.scheduler.shortages:
-            lack = shortage.count - pending
-            if lack <= 0 or (shortage.spot and not allow_spot):
+            if shortage.spot and not allow_spot:
                 continue
             per_zone = {z: 0 for z in shortage.zones}
             for m in self.fleet.machines:
                 if m.zone in per_zone:
                     per_zone[m.zone] += 1
             for zone in sorted(per_zone, key=lambda z: (per_zone[z], z)):
-                if self.refused_until.get((shortage.kind, zone, shortage.spot), 0.0) > now:
+                pending = len(self.expected) + sum(1 for n in self.listed_pending if n not in self.fleet.by_name)
+                lack = shortage.count - pending
+                if lack <= 0 or requests >= MOST_REQUESTS:
+                    return
+                if self.refused_until.get((shortage.kind, zone, shortage.spot), 0.0) > self.clock():
                     continue
                 record = RentRecord(
                     self.ledger.machine_types.name(shortage.kind),
@@ -718,7 +746,7 @@
                 )
                 self._rent_under(f"r-{self.token}-{self.rents}", record)
                 self.rents += 1
-                return
+                requests += 1
 
     def _rent_under(self, name: str, record: RentRecord) -> None:
         """Rents under a name that is on record first: no later leader can use it for anything else."""
