Gang tasks whose machine has the image start last; a slow fetch goes on for the next attempt

One machine had the image, another fetched 3 to 8 GB at 0.12 GB/s, and `gang_wait_s` ended the first one's wait; the gang was broken off, and with nobody waiting for it the fetch was given up too. Now what has the image is sent when the others have it, and when a gang waits in vain all the same, the slow machine goes on fetching and the machines are kept for the next attempt.

--- a/src/grebestand/ledger.py
+++ b/src/grebestand/ledger.py
@@ -33,8 +33,8 @@
     """One attempt of a task on one machine. It counts against every limit until it is proved gone."""
 
     __slots__ = (
-        "attempt", "grace", "index", "job", "machine", "made_at", "on_at", "run_at", "sent_seq",
-        "sent_session", "session", "state", "stop", "stop_sent_at",
+        "attempt", "grace", "held", "index", "job", "machine", "made_at", "on_at", "run_at", "sent_seq",
+        "sent_session", "session", "state", "stop", "stop_sent_at", "warms",
     )  # fmt: skip
 
     def __init__(self, job: Job, index: int, machine: int, attempt: int, now: float) -> None:
@@ -47,6 +47,10 @@
         self.sent_session = 0
         self.sent_seq = 0
         self.made_at = now
+        #: not to be sent before the others of its gang have their image
+        self.held = False
+        #: its gang is broken; it stays until its machine has the image, for the next attempt
+        self.warms = False
         self.on_at: float | None = None
         self.run_at: float | None = None
         self.stop: str | None = None
--- a/src/grebestand/term.py
+++ b/src/grebestand/term.py
@@ -138,7 +138,7 @@
         self.ledger.type_bound = int(policy.value("type_bound", names))
         # a chunk of progress has to fit a value with its quotes and braces, in base64
         self.ledger.chunk_bits = 8 * max(16, min(8192, int((self.api.value_bytes - 128) * 3 / 4)))
-        self.scheduler = Scheduler(self.ledger, self.fleet, self.desk, p.objectives, self._knobs)
+        self.scheduler = Scheduler(self.ledger, self.fleet, self.desk, p.objectives, self._knobs, p.workers.gang_wait_s)
         self.loaded = False
         self.proved = False
         self.watched = 0
@@ -202,6 +202,7 @@
             reclaim_after_s=v("reclaim_after_s", names),
             migrate=bool(v("migrate", names)),
             lend_spare=bool(v("lend_spare", names)),
+            hold_spare=v("hold_spare", names),
         )
 
     # writes -----------------------------------------------------------------------------------------------
--- a/src/grebestand/workers.py
+++ b/src/grebestand/workers.py
@@ -21,6 +21,9 @@
 #: how many attempts a leader can name under one token before it would run into the next one's
 ATTEMPTS_PER_TOKEN = 1 << 24
 
+#: how long the machines of a gang are kept for its next attempt while an image is still on its way
+WARM_S = 45.0
+
 #: a response line and a report body hold 64 KiB; this keeps both well below
 MOST_COMMANDS = 300
 
@@ -168,6 +171,8 @@
         self.ledger.move_place(place, _SEEN[status.state], now)
         if status.state is not TaskReport.FETCHING:
             self.fleet.note_image(m, job.image, job.spec.image_gb)
+            if place.warms:
+                self.stop(place, "gang broken", 0.0, now)
 
     def _adopt(self, m: Machine, job: Job, index: int, status: TaskStatus, now: float) -> Place:
         """A task that an earlier leader started: it goes on."""
@@ -251,11 +256,25 @@
             # and no task may start again before all of them are gone. An orderly stop goes on as it is.
             for other in list(job.places.values()):
                 if other.attempt == place.attempt:
-                    if other.stop is None:
+                    if other.stop is None and not self._keeps_fetching(m, other, why, now):
                         self.stop(other, "gang broken", 0.0, now)
                 else:
                     self.stop(other, "stale attempt", 0.0, now)
 
+    def _keeps_fetching(self, m: Machine, place: Place, why: str, now: float) -> bool:
+        """Whether a task of a gang that waited in vain goes on fetching, so that the next attempt finds the image.
+
+        A machine gives up a fetch that no task waits for. When the slowest fetch of a gang took longer than
+        `gang_wait_s` after the fastest, the gang cleared machines and began anew every 30 s without ever starting.
+        """
+        if why != Why.ALONE.value or place.state is not PlaceState.FETCHING:
+            return False
+        place.warms = True
+        for machine in (m, self.fleet.at(place.machine)):
+            if machine is not None and machine.reserved_for is None:
+                machine.reserved_for, machine.reserved_until = place.job.spec.id, now + WARM_S
+        return True
+
     def finish_task(self, job: Job, index: int, now: float) -> None:
         if not job.live:
             return
@@ -321,6 +340,8 @@
             elif place.state is PlaceState.QUEUED or (place.state is PlaceState.SENT and place.sent_seq < 0):
                 if not place.job.covers(place):
                     continue  # a later leader would not know where to look for it
+                if place.held and self._gang_fetches(place.job):
+                    continue
                 self.ledger.move_place(place, PlaceState.SENT, now)
                 place.session = place.sent_session = r.session
                 place.sent_seq = r.seq
@@ -329,6 +350,12 @@
                 break
         return out
 
+    @staticmethod
+    def _gang_fetches(job: Job) -> bool:
+        """Whether others of the gang still wait for the image, so that one more task would only wait for them."""
+        early = (PlaceState.QUEUED, PlaceState.SENT, PlaceState.FETCHING)
+        return any(not p.held and p.state in early for p in job.places.values())
+
     def _may_forget(self, job: Job | None, index: int, status: TaskStatus) -> bool:
         if job is None or status.why is not Why.DONE or index >= job.spec.tasks:
             return True
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -773,3 +773,51 @@
     assert machines is None or len(machines) <= 16
     assert hi < 1000
     assert world.state.revision - before < 12
+
+
+def test_a_gang_member_with_the_image_starts_when_the_others_have_it_too() -> None:
+    """It waited for mates that fetched for longer than `gang_wait_s`, and the whole gang began again each time."""
+    world, node, workers = start_world(2)
+    term = node.term
+    assert term is not None
+    first = world.accept(node, shards=1, cpus=15.0, cargo="big", pullGb=40.0)
+    world.settle(term, 3)
+    has, lacks = workers if workers[0].running() else reversed(workers)
+    has.finish(f"{first}/0")
+    world.settle(term, 4)
+    gang = world.accept(node, shape="ensemble", shards=2, cpus=15.0, cargo="big", pullGb=40.0)
+    world.clock.now += 1.0
+    for w in (has, lacks, has, lacks):
+        world.checkin(term, w)
+        for status in w.tasks.values():
+            if status.state is TaskReport.RUNNING:
+                status.state = TaskReport.FETCHING
+    assert len(lacks.running()) == 1 and not has.running()
+    (status,) = lacks.tasks.values()
+    status.state = TaskReport.WAITING
+    world.clock.now += 1.0
+    world.checkin(term, lacks)
+    world.checkin(term, has)
+    assert [t.split("/")[0] for t in has.running()] == [gang]
+
+
+def test_a_gang_that_waited_in_vain_lets_the_slow_machine_finish_its_fetch() -> None:
+    world, node, (fast, slow) = start_world(2)
+    term = node.term
+    assert term is not None
+    gang = world.accept(node, shape="ensemble", shards=2, cpus=15.0, cargo="big", pullGb=40.0)
+    world.settle(term, 2)
+    for w, state in ((fast, TaskReport.WAITING), (slow, TaskReport.FETCHING)):
+        (status,) = w.tasks.values()
+        status.state = state
+        world.checkin(term, w)
+    (task,) = fast.tasks
+    fast.finish(task, Why.ALONE)
+    world.settle(term, 3)
+    assert len(slow.running()) == 1 and not fast.running()  # nothing starts while a task of the old attempt is there
+    (status,) = slow.tasks.values()
+    old = status.attempt
+    status.state = TaskReport.WAITING
+    world.settle(term, 6)
+    assert {a for t, a in slow.started + fast.started if t.startswith(gang)} > {old}
+    assert len(fast.running()) == len(slow.running()) == 1
