--- a/src/grebestand/scheduler.py
+++ b/src/grebestand/scheduler.py
@@ -358,11 +358,11 @@
 
     def place(self, now: float) -> None:
         """A full pass: every job that waits, over every machine."""
-        self.ledger.rate_guarantees()
         waiting = [j for j in self.ledger.waiting_jobs() if now >= j.hold_until and j.startable() > 0]
         self.queue = []
         if not waiting:
             return
+        self.ledger.rate_guarantees()
         waiting.sort(key=lambda j: self.urgency(j, now))
         self.blocked = {j.type for j in self.ledger.waiting_jobs()}
         self.borrowers = {t for t, team in enumerate(self.ledger.teams) if team.borrows()}
--- a/src/grebestand/term.py
+++ b/src/grebestand/term.py
@@ -146,6 +146,8 @@
         self.grant_pages = self._pages("grants/")
         self.progress_pages = self._pages("progress/")
         self.granting = BoundedSemaphore(1)
+        self.counted: dict[str, tuple[int, int]] = {}
+        self.counted_at = -math.inf
         self.cover_task: gevent.Greenlet | None = None
         self.orphans: set[str] = set()
         self.expected: dict[str, Expected] = {}
@@ -781,5 +783,12 @@
     # display ----------------------------------------------------------------------------------------------
 
     def counts(self) -> dict[str, tuple[int, int]]:
-        jobs = self.ledger.jobs.items()
-        return {ident: (job.done_count, job.running()) for ident, job in jobs if job.places or job.done_count}
+        """Done and running tasks of each job, for all controllers' users; a second old at the most."""
+        now = self.clock()
+        if now - self.counted_at >= 1.0:
+            self.counted_at = now
+            jobs = self.ledger.jobs.items()
+            self.counted = {
+                ident: (job.done_count, job.running()) for ident, job in jobs if job.places or job.done_count
+            }
+        return self.counted
