A successor learns the machines' images; work of the same priority is reclaimed after a while only

Now the leader tells its peers every 5 s which machines have which images (no authority in it), a successor starts from that; equal priority waits for `reclaim_after_s` first, and a gang that was stopped before costs more to stop again.

--- a/src/grebestand/controller.py
+++ b/src/grebestand/controller.py
@@ -19,7 +19,7 @@
 from .http import HttpTransport, Unreachable
 from .leadership import Fenced, Leadership
 from .machines import LeaderState, MachineState
-from .peers import Hello, Peer, Resigned
+from .peers import CachedImages, Hello, Peer, Resigned
 from .policy import VARIABLES, Policy
 from .settings import Settings, parse_address
 from .state import StateClient, StateError, put
@@ -31,6 +31,8 @@
 _report_decoder = msgspec.json.Decoder(Report)
 
 TYPES_KEY = "meta/types"
+#: how often the leader tells the others which images the machines have
+IMAGES_S = 5.0
 REASONS = {
     200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
     421: "Misdirected Request", 422: "Unprocessable Entity", 503: "Service Unavailable",
@@ -97,6 +99,8 @@
         self.users_busy = 0
         self.leader_counts: dict[str, tuple[int, int]] = {}
         self.lost_workers = 0
+        #: as the leader last told
+        self.cached_images = CachedImages()
 
     # leadership -------------------------------------------------------------------------------------------
 
@@ -123,6 +127,8 @@
             except StateError as e:
                 log.info("records not read yet: %s", e)
                 gevent.sleep(0.3)
+        if self.term is term:
+            term.learn_images(self._known_images())
         while self.term is term and self.leadership.state is LeaderState.PAUSED:
             gevent.sleep(0.1)
         if self.term is not term:
@@ -274,12 +280,38 @@
                 self._take_hello(answer)
             gevent.sleep(0.9 + 0.2 * self.rng.random())
 
+    def _known_images(self) -> CachedImages:
+        """From memory, or, after a restart, from whoever was told."""
+        if not self.cached_images.machines:
+            for peer in self.peers:
+                known = peer.tell("/images", CachedImages(), CachedImages, timeout=0.3)
+                if known is not None and known.machines:
+                    return known
+        return self.cached_images
+
+    def _images_loop(self) -> None:
+        while True:
+            gevent.sleep(IMAGES_S)
+            term = self.term
+            if term is not None and term.loaded and self.leadership.entitled():
+                self.cached_images = term.cached_images()
+                for peer in self.peers:
+                    peer.tell("/images", self.cached_images, CachedImages)
+
     def _peer_app(self, environ: dict[str, Any], start: Callable[..., Any]) -> list[bytes]:
         try:
             body = environ["wsgi.input"].read(1 << 22)
             path = environ.get("PATH_INFO")
             if path == "/hello":
                 self._take_hello(msgspec.msgpack.decode(body, type=Hello))
+            elif path == "/images":
+                told = msgspec.msgpack.decode(body, type=CachedImages)
+                if told.machines:
+                    self.cached_images, told = told, CachedImages()
+                else:
+                    told = self.cached_images
+                start("200 OK", [("Content-Type", "application/msgpack")])
+                return [msgspec.msgpack.encode(told)]
             elif path == "/resigned":
                 gone = msgspec.msgpack.decode(body, type=Resigned)
                 gevent.spawn(self._succeed, gone)
@@ -423,6 +455,7 @@
         peer_server.start()
         gevent.spawn(self._lead_loop)
         gevent.spawn(self._types_loop)
+        gevent.spawn(self._images_loop)
         for peer in self.peers:
             gevent.spawn(self._peer_loop, peer)
         log.info("%s serves on %s", self.settings.name, self.settings.listen)
--- a/src/grebestand/ledger.py
+++ b/src/grebestand/ledger.py
@@ -65,6 +65,7 @@
         "accepted_at",
         "avoid",
         "dirty",
+        "displaced",
         "done",
         "done_count",
         "durable",
@@ -115,6 +116,8 @@
         self.returned: list[int] = []
         self.errors = 0
         self.earned = False
+        #: how often the whole gang was stopped to make room
+        self.displaced = 0
         self.avoid: dict[int, float] = {}
         self.hold_until = 0.0
         #: durable coarse grant: machines (None: any) that tasks below granted_hi may have been started on
@@ -260,15 +263,19 @@
             self.teams.append(TeamUse(spec.team, (0, 0), (0, 0)))
         job = Job(spec, version, accepted_at, team)
         job.zone = self.zones.index(spec.zone) if spec.zone else -1
-        job.image = self.images.index(spec.image)
-        if job.image == len(self.image_gb):
-            self.image_gb.append(spec.image_gb)
+        job.image = self.image(spec.image, spec.image_gb)
         job.type = self._classify(job, now)
         job.wait_since = job.started_at = now
         self.jobs[spec.id] = job
         self.changed = self.arrived = True
         return job
 
+    def image(self, name: str, gigabytes: float) -> int:
+        index = self.images.index(name)
+        if index == len(self.image_gb):
+            self.image_gb.append(gigabytes)
+        return index
+
     def _classify(self, job: Job, now: float) -> int:
         spec = job.spec
         kinds = frozenset(self.machine_types.index(t) for t in spec.types) if spec.types is not None else None
--- a/src/grebestand/peers.py
+++ b/src/grebestand/peers.py
@@ -1,4 +1,4 @@
-"""What controllers tell each other: who leads, whether the state service is reached, and jobs' counts.
+"""What controllers tell each other: who leads, whether the state service is reached, jobs' counts, cached images.
 
 Nothing here is authority. A lost or late message costs a wrong figure on display or a slower takeover.
 """
@@ -32,6 +32,14 @@
     token: int
 
 
+class CachedImages(msgspec.Struct):
+    """Which machine is thought to have which images, by their place in `names`; a successor starts from it."""
+
+    names: list[str] = []
+    gigabytes: list[float] = []
+    machines: dict[str, list[int]] = {}
+
+
 class Peer:
     def __init__(self, name: str, transport: Transport) -> None:
         self.name = name
--- a/src/grebestand/scheduler.py
+++ b/src/grebestand/scheduler.py
@@ -42,6 +42,8 @@
 #: a core that waits for an image also makes its job late, so it counts for more than a lost second of work
 IDLE_WEIGHT = 2.0
 CLEARING_COST = 5.0
+#: fetches take longer than the nominal rate says, on some machines by so much; the price of one that is too long
+FETCH_SPREAD, LATE_WEIGHT = 1.5, 4.0
 #: an image is well spread if the machines that have it have so many times the room that is asked for with it
 HOST_FACTOR = 2.0
 #: where the slowest image of a gang takes more than this part of what tasks wait for their gang, the others start later
@@ -618,11 +620,16 @@
         fetched. A machine that has the image may be worth clearing though another is free.
         """
         offers = []
+        starts = [job.accepted_at + w - now for w in self.start_within.get(job.spec.klass, ())]
+        slack = min((s for s in starts if s > 0), default=math.inf)
         patient = self._patient(job, self.knobs.preempt_after_s, now)
         for m in ready:
             if not self._allowed(job, m):
                 continue
-            fetch = IDLE_WEIGHT * self._fetch_s(job, m) * job.size[0] / 1e6
+            seconds = self._fetch_s(job, m)
+            # a gang starts with its slowest machine: one fetch that takes too long costs all of them the aim
+            weight = IDLE_WEIGHT if seconds * FETCH_SPREAD <= slack else LATE_WEIGHT * IDLE_WEIGHT
+            fetch = weight * seconds * job.size[0] / 1e6
             leaving = any(p.stop is not None for p in m.places.values())
             free = min(how_many(job.size, m.free), job.spec.tasks)
             if free > 0:
@@ -690,7 +697,7 @@
 
     # preemption -------------------------------------------------------------------------------------------
 
-    def _may_displace(self, job: Job, victim: Place) -> bool:
+    def _may_displace(self, job: Job, victim: Place, reclaims: bool) -> bool:
         """Only the protocol's cases: higher priority, or a guarantee against another team's borrowing."""
         other = victim.job
         if other is job or not other.live or victim.stop is not None:
@@ -700,20 +707,17 @@
             # a guarantee never displaces higher priority: that work would displace it again in turn, and two
             # jobs that take turns in stopping each other get nowhere
             return mine < theirs
-        return (
-            job.guaranteed
-            and not other.guaranteed
-            and other.team != job.team
-            and self.ledger.teams[other.team].borrows()
-        )
+        return reclaims and not other.guaranteed and other.team != job.team and self.ledger.teams[other.team].borrows()
 
     def _victims(self, job: Job, m: Machine, now: float) -> list[tuple[float, Place]]:
         """What the job may displace on a machine, the cheapest first; found once a pass for jobs alike."""
-        reclaims = job.guaranteed and bool(self.borrowers - {job.team})
+        reclaims = (
+            job.guaranteed and bool(self.borrowers - {job.team}) and now - job.wait_since >= self.knobs.reclaim_after_s
+        )
         key = (m.index, job.rank, job.team if reclaims else -1)
         found = self._options.get(key)
         if found is None:
-            found = [(self._loss(p, now), p) for p in m.places.values() if self._may_displace(job, p)]
+            found = [(self._loss(p, now), p) for p in m.places.values() if self._may_displace(job, p, reclaims)]
             found.sort(key=lambda o: o[0])
             self._options[key] = found
         return found
@@ -729,8 +733,10 @@
         else:
             seconds = now - victim.run_at
         tasks = spec.tasks if victim.job.gang else 1
+        # what was stopped before should not be the cheapest again: some gangs were placed nine times
+        again = 1.0 + victim.job.displaced
         dearer = 3.0 if victim.job.guaranteed or self._tight(victim, now) else 1.0
-        return dearer * tasks * (1.0 + seconds) * max(victim.job.size[0], 1) / 1e6
+        return again * dearer * tasks * (1.0 + seconds) * max(victim.job.size[0], 1) / 1e6
 
     def _tight(self, victim: Place, now: float) -> bool:
         """Whether a task that can still make an aim of its job would miss it if it were stopped."""
@@ -769,6 +775,7 @@
             grace = other.spec.save_s + 1.0 if other.spec.checkpoint_s > 0 else 0.0
             log.info("%s/%d is stopped to make room for %s", other.spec.id, victim.index, job.spec.id)
             if other.gang:
+                other.displaced += 1
                 self.desk.stop_job(other, "preempted", grace, now)
             else:
                 self.desk.stop(victim, "preempted", grace, now)
--- a/src/grebestand/term.py
+++ b/src/grebestand/term.py
@@ -24,6 +24,7 @@
 from .ledger import Job, Ledger
 from .machines import JobState, LeaderState, MachineState
 from .pages import Pages
+from .peers import CachedImages
 from .policy import Policy
 from .scheduler import Knobs, Scheduler
 from .settings import Settings
@@ -780,6 +781,23 @@
         self.old_rents.pop(name, None)
         self.orphans.add(key)
 
+    def cached_images(self) -> CachedImages:
+        names = self.ledger.images
+        return CachedImages(
+            [names.name(i) for i in range(len(names))],
+            list(self.ledger.image_gb),
+            {m.name: list(m.images) for m in self.fleet.machines if m.images},
+        )
+
+    def learn_images(self, known: CachedImages) -> None:
+        """Takes over what an earlier leader knew of the machines' images; reports do not tell."""
+        indices = [self.ledger.image(name, gb) for name, gb in zip(known.names, known.gigabytes, strict=True)]
+        for name, held in known.machines.items():
+            m = self.fleet.by_name.get(name)
+            if m is not None:
+                for i in held:
+                    self.fleet.note_image(m, indices[i], known.gigabytes[i])
+
     # display ----------------------------------------------------------------------------------------------
 
     def counts(self) -> dict[str, tuple[int, int]]:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -7,10 +7,12 @@
 
 import gevent
 import gevent.event
+import msgspec
 import pytest
 
 from grebestand.leadership import Fenced
 from grebestand.machines import JobState, LeaderState, MachineState, PlaceState
+from grebestand.peers import CachedImages
 from grebestand.state import put
 from grebestand.wire import Orders, Report, TaskReport, TaskStatus, Why
 from world import Node, Worker, World
@@ -821,3 +823,39 @@
     world.settle(term, 6)
     assert {a for t, a in slow.started + fast.started if t.startswith(gang)} > {old}
     assert len(fast.running()) == len(slow.running()) == 1
+
+
+def test_a_successor_knows_which_machines_have_an_image() -> None:
+    """Reports do not tell; without this a successor sent gangs to machines that had to fetch for half a minute."""
+    world, node, (near, far) = start_world()
+    assert node.term is not None
+    first = world.accept(node, cargo="big", pullGb=40.0)
+    world.settle(node.term, 3)
+    has, lacks = (near, far) if near.running() else (far, near)
+    has.finish(f"{first}/0")
+    world.settle(node.term, 4)
+    told = msgspec.msgpack.decode(msgspec.msgpack.encode(node.term.cached_images()), type=CachedImages)
+    again = successor(world, "node-1")
+    assert again.term is not None
+    again.term.learn_images(told)
+    world.settle(again.term, 3)
+    second = world.accept(again, cargo="big", pullGb=40.0)
+    world.settle(again.term, 3)
+    assert has.running() == [f"{second}/0"] and not lacks.running()
+
+
+def test_work_of_the_same_priority_is_reclaimed_only_after_a_while_and_not_the_same_each_time() -> None:
+    """Gangs within their guarantee stopped others' gangs at once, some nine times, often while they fetched."""
+    world, node, (w,) = start_world(1)
+    term = node.term
+    assert term is not None
+    borrower = world.accept(node, shape="ensemble", shards=1, cpus=15.0)
+    world.settle(term, 3)
+    owner = world.accept(node, shape="ensemble", shards=1, cpus=8.0, crew="red")
+    reclaim = term.scheduler.knobs.reclaim_after_s
+    assert reclaim > 3.0
+    world.settle(term, 2)
+    assert w.running() == [f"{borrower}/0"]
+    world.settle(term, 10)
+    assert w.running() == [f"{owner}/0"]
+    assert term.ledger.jobs[borrower].displaced == 1
