--- a/src/grebestand/scheduler.py
+++ b/src/grebestand/scheduler.py
@@ -42,8 +42,6 @@
 #: a core that waits for an image also makes its job late, so it counts for more than a lost second of work
 IDLE_WEIGHT = 2.0
 CLEARING_COST = 5.0
-#: fetches take longer than the nominal rate says, on some machines by so much; the price of one that is too long
-FETCH_SPREAD, LATE_WEIGHT = 1.5, 4.0
 #: an image is well spread if the machines that have it have so many times the room that is asked for with it
 HOST_FACTOR = 2.0
 #: where the slowest image of a gang takes more than this part of what tasks wait for their gang, the others start later
@@ -620,16 +618,11 @@
         fetched. A machine that has the image may be worth clearing though another is free.
         """
         offers = []
-        starts = [job.accepted_at + w - now for w in self.start_within.get(job.spec.klass, ())]
-        slack = min((s for s in starts if s > 0), default=math.inf)
         patient = self._patient(job, self.knobs.preempt_after_s, now)
         for m in ready:
             if not self._allowed(job, m):
                 continue
-            seconds = self._fetch_s(job, m)
-            # a gang starts with its slowest machine: one fetch that takes too long costs all of them the aim
-            weight = IDLE_WEIGHT if seconds * FETCH_SPREAD <= slack else LATE_WEIGHT * IDLE_WEIGHT
-            fetch = weight * seconds * job.size[0] / 1e6
+            fetch = IDLE_WEIGHT * self._fetch_s(job, m) * job.size[0] / 1e6
             leaving = any(p.stop is not None for p in m.places.values())
             free = min(how_many(job.size, m.free), job.spec.tasks)
             if free > 0:
