--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -15,7 +15,7 @@
 from grebestand.peers import CachedImages
 from grebestand.state import put
 from grebestand.wire import Orders, Report, TaskReport, TaskStatus, Why
-from world import Node, Worker, World
+from world import SETTINGS, TYPES, Node, Worker, World
 
 
 def view(node: Node, ident: str) -> str:
@@ -859,3 +859,59 @@
     world.settle(term, 10)
     assert w.running() == [f"{owner}/0"]
     assert term.ledger.jobs[borrower].displaced == 1
+
+
+def test_all_of_a_shortage_is_asked_for_in_one_step() -> None:
+    """At one request a step, a day that began with half its machines took 20 s to ask for the rest."""
+    world = World(SETTINGS.replace("cpus_max = 64.0", "cpus_max = 6400.0"), rules="rent = true\n")
+    world.worker("n-000000")
+    node = Node(world, "node-0")
+    term = node.lead()
+    term.fleet.learn_types(TYPES)
+    world.settle(term, 2)
+    world.accept(node, shards=240, cpus=4.0, ramGb=1.0)
+    world.cloud.capacity = 12
+    world.clock.now += 6.0
+    term.step_schedule(world.clock.now)
+    lack = max(s.count for s in term.scheduler.shortages)
+    assert lack > 40
+    term.step_fleet()
+    # zone a gave less than was asked for; zone b and the other kind of machine were asked in the same step
+    assert len(term.expected) == 12
+    assert term.rents == 4 and set(term.refused_until) == {(0, zone, spot) for zone in (0, 1) for spot in (False, True)}
+
+
+def test_only_so_many_machines_are_fenced_at_once() -> None:
+    """Hundreds of connections in the first second of a term kept the workers' own reports waiting."""
+    world, node, _workers = start_world(80)
+    assert node.term is not None
+    again = successor(world, "node-1")
+    term = again.term
+    assert term is not None
+    first = term.to_fence()
+    assert 0 < len(first) < 80
+    term.fencing = {m.index for m in first}
+    assert not term.to_fence()
+    term.fencing = set()
+    for m in first:
+        term.fence(m)
+    second = term.to_fence()
+    assert len(first) + len(second) == 80 and not {m.index for m in second} & {m.index for m in first}
+
+
+def test_held_gang_slots_are_not_lent() -> None:
+    """`hold_spare` is off by default; where it is set, low work leaves that many slots of a higher type alone."""
+    for rules, free in (("rent = false\n", 0), ("rent = false\nhold_spare = 1\n", 1)):
+        world = World(rules=rules)
+        workers = [world.worker(f"n-{i:06d}") for i in range(3)]
+        node = Node(world, "node-0")
+        term = node.lead()
+        world.settle(term, 3)
+        gang = world.accept(node, shape="ensemble", shards=1, cpus=15.0, rank="high")
+        world.settle(term, 3)
+        world.accept(node, shards=60, cpus=1.0, ramGb=0.1, rank="best_effort")
+        world.settle(term, 3)
+        (holder,) = [w for w in workers if f"{gang}/0" in w.running()]
+        others = [w for w in workers if w is not holder]
+        # beside the gang's 15 CPUs one is left, which is low work's own
+        assert sum(len(w.running()) <= 1 for w in others) == free
