--- a/src/grebestand/fleet.py
+++ b/src/grebestand/fleet.py
@@ -63,11 +63,6 @@
     def slots_used(self, kind: int) -> int:
         return self.slots.get(kind, 0)
 
-    def borrowed(self, kind: int) -> bool:
-        """Whether tasks without a slot of their own in the configuration are here, in the room of this type."""
-        width = len(self.config)
-        return any(n and k != kind and not (k < width and self.config[k]) for k, n in self.slots.items())
-
 
 class Fleet:
     def __init__(self, ledger: Ledger, lease_s: float, report_s: float) -> None:
--- a/src/grebestand/scheduler.py
+++ b/src/grebestand/scheduler.py
@@ -63,7 +63,6 @@
     reclaim_after_s: float
     migrate: bool
     lend_spare: bool
-    hold_spare: float
 
 
 @dataclass(frozen=True)
@@ -117,9 +116,6 @@
         self._no_slot: dict[tuple[int, int, bool], Amounts] = {}
         #: images for which the machines that have them have room enough, at the last full pass
         self.well_spread: set[int] = set()
-        #: spare slots of each type that lower work may not borrow, and how many more it may
-        self.held: dict[int, int] = {}
-        self.lendable: dict[int, int] = {}
         self.within: dict[str, list[float]] = {}
         self.start_within: dict[str, list[float]] = {}
         self.deadline_times: dict[str, list[float]] = {}
@@ -133,7 +129,7 @@
     # targets and templates --------------------------------------------------------------------------------
 
     def _targets(self, now: float) -> tuple[list[int], list[Slot], list[float], list[float]]:
-        """Active types, their slots, targets (running + waiting + g) and the need without g, with what is held."""
+        """Active types, their slots, targets (running + waiting + g) and the bare need without g."""
         counts: dict[int, float] = {}
         for job in self.ledger.jobs.values():
             if not job.live:
@@ -152,10 +148,6 @@
             payoff = self.knobs.payoffs[t.rank]
             slots.append(t.slot(payoff * max(share(t.size, room), 1e-6)))
         need = [counts.get(i, 0.0) for i in kinds]
-        lowest = max((self.ledger.types[i].rank for i in kinds), default=0)
-        above = [i for i in kinds if self.ledger.types[i].rank < lowest]
-        self.held = {i: int(self.knobs.hold_spare / len(above)) for i in above}
-        need = [n + self.held.get(i, 0) for i, n in zip(kinds, need, strict=True)]
         return kinds, slots, [n + self.knobs.g for n in need], need
 
     def _typical_room(self) -> Amounts:
@@ -369,7 +361,6 @@
         self._options = {}
         self._no_slot = {}
         self._measure_images()
-        self._measure_spares(now)
         reserved: set[str] = set()
         for m in self.fleet.machines:
             if m.reserved_for is not None:
@@ -399,21 +390,6 @@
                     hosts[image] = hosts.get(image, 0) + m.room[0]
         self.well_spread = {i for i, need in demand.items() if hosts.get(i, 0) >= HOST_FACTOR * need}
 
-    def _measure_spares(self, now: float) -> None:
-        """How many spare slots of each type may be lent, beyond those that are held for what comes next."""
-        self.lendable = {k: -n for k, n in self.held.items()}
-        for m in self.fleet.machines:
-            if m.accept and self.fleet.usable(m, now):
-                for k, n in enumerate(m.config):
-                    if n > m.slots_used(k) and not m.borrowed(k):
-                        self.lendable[k] = self.lendable.get(k, 0) + n - m.slots_used(k)
-
-    def _note_lending(self, job: Job, m: Machine) -> None:
-        if m.accept and not m.places:
-            for k, n in enumerate(m.config):
-                if n and k != job.type and not (job.type < len(m.config) and m.config[job.type]):
-                    self.lendable[k] = self.lendable.get(k, 0) - n
-
     def _worth_fetching(self, job: Job, m: Machine, now: float) -> bool:
         """Whether the job's image is there, or should be fetched there.
 
@@ -459,7 +435,6 @@
             if index is None:
                 return started
             job.started_at = now
-            self._note_lending(job, m)
             self.desk.start(job, index, m, self.desk.next_attempt(), now)
         return count
 
@@ -505,8 +480,6 @@
                     higher = self.ledger.types[k].rank < mine
                     if k in blocked_types or not higher:
                         return 0
-                    if n > m.slots_used(k) and not m.borrowed(k) and self.lendable.get(k, 0) <= 0:
-                        return 0
             return room
         return room if now - job.wait_since >= self.knobs.period_s or m.rank == 0 else 0
 
--- a/src/grebestand/term.py
+++ b/src/grebestand/term.py
@@ -205,7 +205,6 @@
             reclaim_after_s=v("reclaim_after_s", names),
             migrate=bool(v("migrate", names)),
             lend_spare=bool(v("lend_spare", names)),
-            hold_spare=v("hold_spare", names),
         )
 
     # writes -----------------------------------------------------------------------------------------------
