A script that accounts for a controller's processor time and memory

What each kind of greenlet takes, the longest stretch without a yield, parts of the leader's computing, garbage collection, objects and resident memory; with yappi also single functions.

--- /dev/null
+++ b/tools/account.py
@@ -0,0 +1,184 @@
+"""Runs one controller like `run.py` and accounts for its processor time on standard error.
+
+    python3 tools/account.py [--every S] [--functions N] [--memory] --config settings.toml
+
+Every S seconds it prints what each kind of greenlet took since the last time, how often it ran, and the longest
+stretch for which it did not yield: while a stretch lasts, no report is answered and no hold is renewed. Some
+parts that compute without yielding are counted a second time, as `.part`, and so is garbage collection. With
+`--functions N` it prints instead the N functions that took most; that needs `yappi` (requirements-dev.txt) and
+makes everything several times slower, so read it as shares. With `--memory` it adds resident kilobytes and the
+number of objects of the project's classes. To account for a simulated day, name it as `run` in a copy's
+`deploy/service.toml`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import functools
+import gc
+import os
+import sys
+import time
+from collections import Counter
+from typing import Any
+
+_ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+sys.path[:0] = [os.path.join(_ROOT, "src"), os.path.join(_ROOT, "target", "deps")]
+_BORN = time.monotonic()
+
+import gevent  # noqa: E402
+import greenlet  # noqa: E402
+
+from grebestand.cli import main  # noqa: E402
+from grebestand.controller import Controller  # noqa: E402
+from grebestand.fleet import Fleet  # noqa: E402
+from grebestand.ledger import Ledger  # noqa: E402
+from grebestand.scheduler import Scheduler  # noqa: E402
+from grebestand.term import Term  # noqa: E402
+from grebestand.workers import Desk  # noqa: E402
+
+#: parts that never yield, so that a clock around them tells what they take
+PARTS: list[tuple[type, list[str]]] = [
+    (Controller, ["_hello"]),
+    (Desk, ["read", "commands"]),
+    (Fleet, ["sweep_silence"]),
+    (Ledger, ["rate_guarantees"]),
+    (Term, ["step_schedule", "check_proved", "cached_images"]),
+    (Scheduler, ["place", "retarget", "fill", "_measure_shortage", "_migrate", "_explain"]),
+    (Scheduler, ["_place_gang", "_place_tasks", "_make_room", "_measure_images", "_targets", "_offers"]),
+]
+
+
+def label_of(g: Any) -> str:
+    """What a greenlet is for: the name of what it runs, and of the step that it was given."""
+    run = getattr(g, "_run", None)
+    name = getattr(run, "__name__", type(g).__name__)
+    args = getattr(g, "args", ())
+    steps = [a.__name__ for a in args if hasattr(a, "__name__")]
+    return "/".join([name, *steps])
+
+
+class Account:
+    def __init__(self) -> None:
+        self.clock = time.perf_counter
+        self.labels: dict[int, str] = {}
+        self.reset()
+        self.since = self.collecting_since = self.clock()
+
+    def reset(self) -> None:
+        self.took: Counter[str] = Counter()
+        self.runs: Counter[str] = Counter()
+        self.longest: dict[str, float] = {}
+
+    def collected(self, phase: str, info: dict[str, int]) -> None:
+        """Garbage collections, which happen inside whatever runs: counted a second time under a label of their own."""
+        now = self.clock()
+        if phase == "start":
+            self.collecting_since = now
+            return
+        label = f"(collection {info['generation']})"
+        self.took[label] += now - self.collecting_since
+        self.runs[label] += 1
+        self.longest[label] = max(self.longest.get(label, 0.0), now - self.collecting_since)
+
+    def switched(self, event: str, args: tuple[Any, Any]) -> None:
+        now = self.clock()
+        origin = args[0]
+        label = getattr(origin, "_account_label", None)
+        if label is None:
+            label = label_of(origin)
+            with contextlib.suppress(AttributeError):
+                origin._account_label = label
+        stretch = now - self.since
+        self.took[label] += stretch
+        self.runs[label] += 1
+        if stretch > self.longest.get(label, 0.0):
+            self.longest[label] = stretch
+        self.since = now
+
+    def watch(self, owner: type, name: str) -> None:
+        """Counts what a method takes, with all that it calls."""
+        inner = getattr(owner, name, None)
+        if inner is None:
+            return
+        label = f".{name}"
+
+        @functools.wraps(inner)
+        def timed(*args: Any, **named: Any) -> Any:
+            begin = self.clock()
+            try:
+                return inner(*args, **named)
+            finally:
+                took = self.clock() - begin
+                self.took[label] += took
+                self.runs[label] += 1
+                self.longest[label] = max(self.longest.get(label, 0.0), took)
+
+        setattr(owner, name, timed)
+
+    def show(self, seconds: float) -> None:
+        rows = [f"account of {seconds:.0f} s: seconds, runs, longest stretch in ms"]
+        for label, took in self.took.most_common(40):
+            rows.append(f"  {took:8.2f} {self.runs[label]:7d} {1000 * self.longest[label]:8.1f}  {label}")
+        self.reset()
+        print("\n".join(rows), file=sys.stderr, flush=True)
+
+
+def _functions(n: int) -> None:
+    import yappi
+
+    stats = sorted(yappi.get_func_stats(), key=lambda s: -s.tsub)[:n]
+    rows = ["functions: own seconds, with what they call, calls"]
+    for s in stats:
+        rows.append(f"  {s.tsub:8.2f} {s.ttot:8.2f} {s.ncall:9d}  {s.name} {s.module.rsplit('/', 1)[-1]}:{s.lineno}")
+    print("\n".join(rows), file=sys.stderr, flush=True)
+    yappi.clear_stats()
+
+
+def _memory() -> None:
+    with open("/proc/self/statm") as f:
+        resident = int(f.read().split()[1]) * (os.sysconf("SC_PAGE_SIZE") // 1024)
+    ours = (type(o) for o in gc.get_objects())
+    counts = Counter(t.__name__ for t in ours if str(t.__module__).startswith("grebestand"))
+    print(f"memory: {resident} KB, objects: {dict(counts.most_common(12))}", file=sys.stderr, flush=True)
+
+
+def _report(account: Account, every: float, functions: int, memory: bool) -> None:
+    while True:
+        gevent.sleep(every)
+        if functions:
+            _functions(functions)
+        else:
+            account.show(every)
+        if memory:
+            _memory()
+
+
+def _arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description="Runs one controller and accounts for its processor time.")
+    parser.add_argument("--every", type=float, default=60.0, metavar="S", help="seconds between two accounts")
+    parser.add_argument("--functions", type=int, default=0, metavar="N", help="functions to show, by yappi")
+    parser.add_argument("--memory", action="store_true", help="also what the process holds")
+    parser.add_argument("--config", required=True, metavar="FILE", help="the platform's settings (TOML)")
+    return parser.parse_args()
+
+
+if __name__ == "__main__":
+    arguments = _arguments()
+    account = Account()
+    if arguments.functions:
+        import yappi
+
+        yappi.set_context_backend("greenlet")
+        yappi.set_clock_type("wall")
+        yappi.start()
+    else:
+        greenlet.settrace(account.switched)
+        gc.callbacks.append(account.collected)
+        for owner, names in PARTS:
+            for name in names:
+                account.watch(owner, name)
+    print(f"imports took {1000 * (time.monotonic() - _BORN):.0f} ms", file=sys.stderr)
+    gevent.spawn(_report, account, arguments.every, arguments.functions, arguments.memory)
+    sys.exit(main(["serve", "--config", arguments.config]))
