Controllers start from compiled files; what imports made is left out of collections

Cause: nothing can be written beside the sources where controllers run, so each start compiled 24 files again: 0.70 s against 0.37 s of a shared core here. The build compiles everything that a controller imports under target/, and Python checks it against the sources.

--- a/run.py
+++ b/run.py
@@ -5,6 +5,11 @@
 
 _ROOT = os.path.dirname(os.path.abspath(__file__))
 sys.path[:0] = [os.path.join(_ROOT, "src"), os.path.join(_ROOT, "target", "deps")]
+# Where nothing may be written beside the sources, every start compiled them again, at half its processor time. The
+# build compiles all that a controller imports into this directory; Python checks each file against its source.
+_COMPILED = os.path.join(_ROOT, "target", "compiled")
+if os.path.isdir(_COMPILED):
+    sys.pycache_prefix = _COMPILED
 
 from grebestand.cli import main  # noqa: E402
 
--- a/src/grebestand/cli.py
+++ b/src/grebestand/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import gc
 import logging
 import os
 import sys
@@ -38,6 +39,8 @@
     os.environ.setdefault("GEVENT_RESOLVER", "block")
     from .controller import Controller
 
+    # what the imports made stays for good; full collections need not go over it each time
+    gc.freeze()
     try:
         Controller(loaded, rules).serve()
     except KeyboardInterrupt:
