--- a/src/grebestand/scheduler.py
+++ b/src/grebestand/scheduler.py
@@ -114,7 +114,7 @@
         self._options: dict[tuple[int, int, int], list[tuple[float, Place]]] = {}
         #: sizes for which the pass has found no slot, by type and whether the job has waited for a period
         self._no_slot: dict[tuple[int, int, bool], Amounts] = {}
-        #: images for which the machines that have them have room enough, at the last full pass
+        #: images for which the machines that have them had room enough when targets were last set
         self.well_spread: set[int] = set()
         self.within: dict[str, list[float]] = {}
         self.start_within: dict[str, list[float]] = {}
@@ -195,6 +195,7 @@
                     wide[k] = seat.config[j]
                 m.config = tuple(wide)
         self._measure_shortage(slots, need, targets, pools, sizes, zoned)
+        self._measure_images()
         if self.knobs.migrate:
             self._migrate(now)
         self._explain(now)
@@ -360,7 +361,6 @@
         self.borrowers = {t for t, team in enumerate(self.ledger.teams) if team.borrows()}
         self._options = {}
         self._no_slot = {}
-        self._measure_images()
         reserved: set[str] = set()
         for m in self.fleet.machines:
             if m.reserved_for is not None:
