A report without news costs no names; nothing is answered after the authority ran out

Reports took each task's name apart twice and made one anew. Places now stand under the name that reports use, and only what is new is looked at. The clock is read again after computing and just before an answer leaves; a report that waited for grants was answered 200, if without commands, after the authority had ended. Also gone: Fleet.pool_of, force, direct, which nothing used.

--- a/src/grebestand/controller.py
+++ b/src/grebestand/controller.py
@@ -393,7 +393,11 @@
         if term is not None:
             orders = term.checkin(report)
             if orders is not None:
-                return Answer(200, _json.encode(orders))
+                answer = _json.encode(orders)
+                # starts that were written into an answer which does not leave are sent again, as if lost on the way
+                if self.leadership.entitled():
+                    return Answer(200, answer)
+                self.leadership.check_clock()
         leader = self.leadership.leader
         if leader is not None and leader != self.settings.name:
             return Answer(421, _json.encode(Elsewhere(leader)))
--- a/src/grebestand/fleet.py
+++ b/src/grebestand/fleet.py
@@ -7,7 +7,7 @@
 
 from .ledger import Ledger, Place, room_of
 from .machines import MACHINE_STEPS, MachineState, PlaceState, step
-from .placement import Amounts, Config, Pool, minus, plus
+from .placement import Amounts, Config, minus, plus
 from .wire import MachineType
 
 #: steady clocks may drift apart by this much (the protocol's bound)
@@ -36,7 +36,8 @@
         self.free: Amounts = (0, 0, 0)
         #: how many places there are of each task type
         self.slots: dict[int, int] = {}
-        self.places: dict[tuple[str, int], Place] = {}
+        #: by the name that reports give the task
+        self.places: dict[str, Place] = {}
         self.state = MachineState.NEW
         self.recorded = False
         self.session = 0
@@ -138,7 +139,7 @@
         m.slots[job.type] = m.slots.get(job.type, 0) + 1
         if job.image not in m.images:
             m.pulls[job.image] = m.pulls.get(job.image, 0) + 1
-        m.places[(job.spec.id, place.index)] = place
+        m.places[place.name] = place
 
     def release(self, m: Machine, place: Place, now: float) -> None:
         job = place.job
@@ -149,7 +150,9 @@
             m.pulls[job.image] -= 1
             if not m.pulls[job.image]:
                 del m.pulls[job.image]  # nobody waits for it any more, so the machine gives it up
-        del m.places[(job.spec.id, place.index)]
+        elif job.image in m.images:
+            m.images.move_to_end(job.image)  # used until now
+        del m.places[place.name]
         if not m.places:
             m.empty_since = now
         self.ledger.move_place(place, PlaceState.GONE, now)
@@ -190,9 +193,6 @@
                 lapsed.append(m)
         return lapsed
 
-    def pool_of(self, m: Machine) -> Pool:
-        return Pool(m.kind, m.zone, m.spot, m.room)
-
     def usable(self, m: Machine, now: float) -> bool:
         return (
             m.state is MachineState.READY
@@ -209,5 +209,10 @@
         m.images.move_to_end(image)
         kind = self.kinds.get(m.kind)
         limit = kind.cache_gb if kind else 0.0
-        while len(m.images) > 1 and sum(m.images.values()) > limit:
-            m.images.popitem(last=False)
+        if sum(m.images.values()) <= limit:
+            return
+        in_use = {p.job.image for p in m.places.values()}
+        for old in [i for i in m.images if i not in in_use and i != image]:
+            del m.images[old]
+            if sum(m.images.values()) <= limit:
+                return
--- a/src/grebestand/ledger.py
+++ b/src/grebestand/ledger.py
@@ -10,7 +10,7 @@
 from .names import Names
 from .placement import MICRO, Amounts, Slot
 from .settings import Team
-from .wire import PRIORITIES, JobSpec, Kind, MachineType
+from .wire import PRIORITIES, JobSpec, Kind, MachineType, task_name
 
 
 def micro_up(amount: float) -> int:
@@ -33,19 +33,23 @@
     """One attempt of a task on one machine. It counts against every limit until it is proved gone."""
 
     __slots__ = (
-        "attempt", "grace", "held", "index", "job", "machine", "made_at", "on_at", "run_at", "sent_seq",
-        "sent_session", "session", "state", "stop", "stop_sent_at", "warms",
+        "attempt", "grace", "held", "index", "job", "machine", "made_at", "name", "on_at", "run_at", "seen_seq",
+        "sent_seq", "sent_session", "session", "state", "stop", "stop_sent_at", "warms",
     )  # fmt: skip
 
     def __init__(self, job: Job, index: int, machine: int, attempt: int, now: float) -> None:
         self.job = job
         self.index = index
+        #: as reports and commands name the task
+        self.name = task_name(job.spec.id, index)
         self.machine = machine
         self.attempt = attempt
         self.state = PlaceState.QUEUED
         self.session = 0
         self.sent_session = 0
         self.sent_seq = 0
+        #: the newest report of the session that named it
+        self.seen_seq = -1
         self.made_at = now
         #: not to be sent before the others of its gang have their image
         self.held = False
--- a/src/grebestand/term.py
+++ b/src/grebestand/term.py
@@ -512,16 +512,17 @@
                 if self.desk.uncovered(m):
                     self._covering().join(timeout=GRANT_WAIT_S)
             now = self.clock()
-            newer = (m.session, m.seq) != (report.session, report.seq)
-            if newer or not self.leadership.entitled() or self.leadership.token != self.token:
-                return Orders(self.token, []) if self.leadership.token == self.token else None
-        commands = self.desk.commands(m, report, now, direct=False)
+        if not self.leadership.entitled() or self.leadership.token != self.token:
+            return None  # the wait, or a pass, took so long that the authority ran out meanwhile
+        if (m.session, m.seq) != (report.session, report.seq):
+            return Orders(self.token, [])  # a newer report came meanwhile
+        commands = self.desk.commands(m, report, now)
         m.given_at = now
         return Orders(self.token, commands)
 
     # scheduling -------------------------------------------------------------------------------------------
 
-    def step_schedule(self, now: float, force: bool = False) -> None:
+    def step_schedule(self, now: float) -> None:
         if not self.loaded or self.leadership.state is not LeaderState.LEADING:
             return
         ledger = self.ledger
@@ -536,7 +537,7 @@
             end = self.clock()
             self.retarget_after = end + REST * (end - now)
             ledger.changed = True
-        if (ledger.changed or force) and now >= self.place_after:
+        if ledger.changed and now >= self.place_after:
             begin = self.clock()
             self.scheduler.place(now)
             ledger.changed = False
--- a/src/grebestand/workers.py
+++ b/src/grebestand/workers.py
@@ -7,7 +7,7 @@
 from .fleet import Fleet, Machine
 from .ledger import Job, Ledger, Place
 from .machines import JobState, MachineState, PlaceState
-from .wire import Command, Kind, Malformed, Report, TaskReport, TaskStatus, Why, split_task, task_name
+from .wire import Command, Kind, Malformed, Report, TaskReport, TaskStatus, Why, split_task
 
 log = logging.getLogger("grebestand.workers")
 
@@ -115,15 +115,17 @@
         elif m.state is MachineState.SUSPECT:
             self.fleet.move(m, MachineState.READY, now)
         m.heard_at = now
-        seen: set[tuple[str, int, int]] = set()
+        places, seq = m.places, r.seq
         for status in r.tasks:
-            try:
-                ident, index = split_task(status.task)
-            except Malformed:
+            known = places.get(status.task)
+            if known is None or known.attempt != status.attempt or status.state is TaskReport.EXITED:
+                self._read_other(m, status, seq, now)
                 continue
-            seen.add((ident, index, status.attempt))
-            self._read_task(m, ident, index, status, now)
-        self._read_absent(m, r, seen, direct, now)
+            # nearly all that is ever reported: a known task, mostly with no news
+            known.seen_seq = seq
+            if known.state is not _SEEN[status.state]:
+                self._read_state(m, known, _SEEN[status.state], now)
+        self._read_absent(m, r, direct, now)
         if fenced and m.state is MachineState.UNPROVED:
             self.fleet.move(m, MachineState.READY, now)
         if r.notice_s is not None and m.drain != "recall":
@@ -133,10 +135,10 @@
             self.evacuate(m, now)
         return m
 
-    def _read_absent(self, m: Machine, r: Report, seen: set[tuple[str, int, int]], direct: bool, now: float) -> None:
-        for key, place in list(m.places.items()):
-            if (*key, place.attempt) in seen or place.state is PlaceState.QUEUED:
-                continue
+    def _read_absent(self, m: Machine, r: Report, direct: bool, now: float) -> None:
+        for place in [p for p in m.places.values() if p.seen_seq != r.seq and p.state is not PlaceState.QUEUED]:
+            if place.state is PlaceState.GONE:
+                continue  # with another task of its gang
             if place.state is PlaceState.SENT:
                 # a direct report may overtake the check-in response that carries the start, so only a newer
                 # check-in proves that the start was lost
@@ -151,26 +153,29 @@
                 continue
             self._lost(m, place, "vanished", now)
 
-    def _read_task(self, m: Machine, ident: str, index: int, status: TaskStatus, now: float) -> None:
-        job = self.ledger.jobs.get(ident)
-        place = m.places.get((ident, index))
-        if place is not None and place.attempt != status.attempt:
-            place = None
-        if status.state is TaskReport.EXITED:
-            if job is not None:
-                self._read_exit(m, job, index, place, status, now)
+    def _read_other(self, m: Machine, status: TaskStatus, seq: int, now: float) -> None:
+        """A task that has exited, or one that this leader has not started there."""
+        try:
+            ident, index = split_task(status.task)
+        except Malformed:
             return
+        job = self.ledger.jobs.get(ident)
         if job is None or index >= job.spec.tasks:
             return  # answered with a stop in `commands`
-        if place is None:
-            other = job.places.get(index)
-            if other is None and job.live and not job.is_done(index):
-                place = self._adopt(m, job, index, status, now)
-            if place is None:
-                return
-        self.ledger.move_place(place, _SEEN[status.state], now)
-        if status.state is not TaskReport.FETCHING:
-            self.fleet.note_image(m, job.image, job.spec.image_gb)
+        if status.state is TaskReport.EXITED:
+            place = m.places.get(status.task)
+            same = place is not None and place.attempt == status.attempt
+            self._read_exit(m, job, index, place if same else None, status, now)
+        elif index not in job.places and job.live and not job.is_done(index):
+            place = self._adopt(m, job, index, status, now)
+            place.seen_seq = seq
+            self._read_state(m, place, _SEEN[status.state], now)
+
+    def _read_state(self, m: Machine, place: Place, state: PlaceState, now: float) -> None:
+        """A task is in another state than it was before."""
+        self.ledger.move_place(place, state, now)
+        if state is not PlaceState.FETCHING:
+            self.fleet.note_image(m, place.job.image, place.job.spec.image_gb)
             if place.warms:
                 self.stop(place, "gang broken", 0.0, now)
 
@@ -183,8 +188,6 @@
         return place
 
     def _read_exit(self, m: Machine, job: Job, index: int, place: Place | None, status: TaskStatus, now: float) -> None:
-        if index >= job.spec.tasks:
-            return
         why = status.why
         if why is Why.DONE:
             if place is not None and place.run_at is not None and job.spec.estimate_s > 0:
@@ -310,32 +313,32 @@
 
     # answers ----------------------------------------------------------------------------------------------
 
-    def commands(self, m: Machine, r: Report, now: float, direct: bool) -> list[Command]:
+    def commands(self, m: Machine, r: Report, now: float) -> list[Command]:
         """What the worker is told. Starts ride on check-in responses only, and only to recorded machines."""
         out: list[Command] = []
         for status in r.tasks:
+            known = m.places.get(status.task)
+            there = known is not None and known.attempt == status.attempt
+            if there and status.state is not TaskReport.EXITED:
+                continue
             try:
                 ident, index = split_task(status.task)
             except Malformed:
                 continue
-            job = self.ledger.jobs.get(ident)
-            place = m.places.get((ident, index))
-            if status.state is TaskReport.EXITED:
-                if self._may_forget(job, index, status):
-                    out.append(Command("forget", status.task, status.attempt))
-            elif job is None or place is None or place.attempt != status.attempt:
+            if status.state is not TaskReport.EXITED:
                 # over, unknown, or a second copy: it must not stay
                 out.append(Command("stop", status.task, status.attempt, 0.0))
+            elif self._may_forget(self.ledger.jobs.get(ident), index, status):
+                out.append(Command("forget", status.task, status.attempt))
             if len(out) >= MOST_COMMANDS:
                 return out
-        for place in list(m.places.values()):
-            name = task_name(place.job.spec.id, place.index)
+        starts = m.state is MachineState.READY and m.recorded
+        for place in m.places.values():
             if place.stop is not None:
                 # a repeat with the same grace changes nothing; only a grace of 0 cuts a save short
-                if not direct or now - place.stop_sent_at > 1.0:
-                    out.append(Command("stop", name, place.attempt, place.grace))
-                    place.stop_sent_at = now
-            elif direct or m.state is not MachineState.READY or not m.recorded:
+                out.append(Command("stop", place.name, place.attempt, place.grace))
+                place.stop_sent_at = now
+            elif not starts:
                 continue
             elif place.state is PlaceState.QUEUED or (place.state is PlaceState.SENT and place.sent_seq < 0):
                 if not place.job.covers(place):
@@ -345,7 +348,7 @@
                 self.ledger.move_place(place, PlaceState.SENT, now)
                 place.session = place.sent_session = r.session
                 place.sent_seq = r.seq
-                out.append(Command("start", name, place.attempt))
+                out.append(Command("start", place.name, place.attempt))
             if len(out) >= MOST_COMMANDS:
                 break
         return out
@@ -367,8 +370,4 @@
         return any(p.state is PlaceState.QUEUED and not p.job.covers(p) for p in m.places.values())
 
     def direct_stops(self, m: Machine) -> list[Command]:
-        return [
-            Command("stop", task_name(p.job.spec.id, p.index), p.attempt, p.grace)
-            for p in m.places.values()
-            if p.stop is not None
-        ]
+        return [Command("stop", p.name, p.attempt, p.grace) for p in m.places.values() if p.stop is not None]
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -10,11 +10,15 @@
 import msgspec
 import pytest
 
+from grebestand import wire, workers
+from grebestand.controller import Controller
+from grebestand.fleet import Machine
 from grebestand.leadership import Fenced
+from grebestand.ledger import Place
 from grebestand.machines import JobState, LeaderState, MachineState, PlaceState
 from grebestand.peers import CachedImages
 from grebestand.state import put
-from grebestand.wire import Orders, Report, TaskReport, TaskStatus, Why
+from grebestand.wire import Command, Orders, Report, TaskReport, TaskStatus, Why
 from world import SETTINGS, TYPES, Node, Worker, World
 
 
@@ -608,7 +612,8 @@
     for task in low:
         w.tasks[task].state = TaskReport.SAVING
     term.take_direct(term.fleet.by_name[w.name], w.report())
-    term.step_schedule(world.clock.now, force=True)
+    term.ledger.changed = True
+    term.step_schedule(world.clock.now)
     assert not term.ledger.jobs[gang].places
     for task in low:
         w.finish(task, Why.STOPPED)
@@ -896,3 +901,79 @@
         term.fence(m)
     second = term.to_fence()
     assert len(first) + len(second) == 80 and not {m.index for m in second} & {m.index for m in first}
+
+
+def test_an_unchanged_report_takes_no_name_apart_and_changes_no_state(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Hundreds of reports a second name the same tasks again and again; each task once cost two splits and a name."""
+    world, node, (w,) = start_world(1)
+    term = node.term
+    assert term is not None
+    world.accept(node, shards=16)
+    world.settle(term, 4)
+    assert len(w.running()) == 16
+    splits: list[str] = []
+    moves: list[object] = []
+    move = term.ledger.move_place
+
+    def counted_split(name: str) -> tuple[str, int]:
+        splits.append(name)
+        return wire.split_task(name)
+
+    def counted_move(place: Place, new: PlaceState, now: float) -> None:
+        moves.append(new)
+        move(place, new, now)
+
+    monkeypatch.setattr(workers, "split_task", counted_split)
+    monkeypatch.setattr(term.ledger, "move_place", counted_move)
+    world.clock.now += 3.0
+    orders = world.checkin(term, w)
+    assert orders is not None and not orders.commands
+    assert not splits and not moves
+    w.finish(w.running()[0])
+    world.clock.now += 3.0
+    assert world.checkin(term, w) is not None
+    assert len(splits) <= 2 and len(moves) == 1
+
+
+def test_a_pass_that_outlasts_the_authority_starts_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A controller that is stopped or slowed down while it computes finds out only when it looks at its clock."""
+    world, node, (w,) = start_world(1)
+    term = node.term
+    assert term is not None
+    ident = world.accept(node)
+    place = term.scheduler.place
+
+    def late(now: float) -> None:
+        place(now)
+        world.clock.now += 30.0
+
+    monkeypatch.setattr(term.scheduler, "place", late)
+    assert world.checkin(term, w) is None
+    assert term.ledger.jobs[ident].places[0].state is PlaceState.QUEUED and not w.started
+
+
+def test_an_answer_that_became_late_while_it_was_written_does_not_leave(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The clock is looked at once more just before an answer leaves; its starts are sent again with a later one."""
+    world, node, (w,) = start_world(1)
+    term = node.term
+    assert term is not None
+    front = Controller(world.settings, world.policy)
+    front.leadership, front.term = node.leadership, term
+    ident = world.accept(node)
+    commands = term.desk.commands
+
+    def slow(m: Machine, r: Report, now: float) -> list[Command]:
+        out = commands(m, r, now)
+        world.clock.now += 30.0
+        return out
+
+    monkeypatch.setattr(term.desk, "commands", slow)
+    assert front.checkin(msgspec.json.encode(w.report())).status == 503
+    assert node.leadership.state is LeaderState.PAUSED
+    monkeypatch.undo()
+    assert term.ledger.jobs[ident].places[0].state is PlaceState.SENT and not w.started
+    # the hold is gone by now: another term begins, and the task runs once
+    again = successor(world, "node-1")
+    assert again.term is not None
+    world.settle(again.term, 6)
+    assert [task for task, _ in w.started] == [f"{ident}/0"]
