Being late is a state with a name; rests between passes follow the share of the core

Rests are now divided by the share of the core, and lengthened when the controller's loops are late; when they are late by over a second most polls are sent away at once, so that reports and submissions go on. What is taken in at once follows processor, memory and sockets.

--- a/src/grebestand/controller.py
+++ b/src/grebestand/controller.py
@@ -19,6 +19,7 @@
 from .http import HttpTransport, Unreachable
 from .leadership import Fenced, Leadership
 from .machines import LeaderState, MachineState
+from .overload import LOOK_S, Load
 from .peers import CachedImages, Hello, Peer, Resigned
 from .policy import VARIABLES, Policy
 from .settings import Settings, parse_address
@@ -97,6 +98,7 @@
         self.term: Term | None = None
         self.state_ok_at = self.clock()
         self.users_busy = 0
+        self.pressure = Load(p.quota, self.clock)
         self.leader_counts: dict[str, tuple[int, int]] = {}
         self.lost_workers = 0
         #: as the leader last told
@@ -112,7 +114,7 @@
         if new is LeaderState.LOADING and (self.term is None or self.term.token != self.leadership.token):
             term = Term(
                 self.settings, self.policy, self.leadership, self.state, self.cloud, self._direct, self.clock,
-                time.time, self.api,
+                time.time, self.api, self.pressure,
             )  # fmt: skip
             self.term = term
             gevent.spawn(self._run_term, term)
@@ -189,6 +191,13 @@
                 log.exception("tick failed")
             gevent.sleep(0.1)
 
+    def _feel_loop(self) -> None:
+        """Notices how late this controller is with what it has to do."""
+        while True:
+            due = self.clock() + LOOK_S
+            gevent.sleep(LOOK_S)
+            self.pressure.felt(self.clock() - due)
+
     def _lead_loop(self) -> None:
         """Follows or renews, whichever applies; gives way where others can do better."""
         lead = self.leadership
@@ -420,7 +429,7 @@
             if method != "GET":
                 return Answer(405, b"{}", allow="GET")
             return Answer(200 if self.healthy() else 503, b"{}")
-        if self.users_busy > 100:
+        if not self.pressure.takes(self.users_busy, poll=method == "GET"):
             # reports from workers go first; users are told at once and come back
             return Answer(503, b'{"error":"overloaded"}', retry_after=1)
         self.users_busy += 1
@@ -458,6 +467,7 @@
         )  # fmt: skip
         peer_server.start()
         gevent.spawn(self._lead_loop)
+        gevent.spawn(self._feel_loop)
         gevent.spawn(self._types_loop)
         gevent.spawn(self._images_loop)
         for peer in self.peers:
--- a/src/grebestand/machines.py
+++ b/src/grebestand/machines.py
@@ -97,3 +97,18 @@
     ),
     LeaderState.RESIGNED: frozenset({LeaderState.FOLLOWING}),
 }
+
+
+class LoadState(Enum):
+    """How far a controller is behind, the higher the worse."""
+
+    NORMAL = 0
+    STRAINED = 1  # its loops are late: passes over everything come less often
+    OVERLOADED = 2  # users would notice: most polls are sent away as well
+
+
+LOAD_STEPS: dict[LoadState, frozenset[LoadState]] = {
+    LoadState.NORMAL: frozenset({LoadState.STRAINED, LoadState.OVERLOADED}),
+    LoadState.STRAINED: frozenset({LoadState.NORMAL, LoadState.OVERLOADED}),
+    LoadState.OVERLOADED: frozenset({LoadState.STRAINED}),
+}
--- a/src/grebestand/term.py
+++ b/src/grebestand/term.py
@@ -23,6 +23,7 @@
 from .leadership import KEY, Fenced, Leadership
 from .ledger import Job, Ledger
 from .machines import JobState, LeaderState, MachineState
+from .overload import Load
 from .pages import Pages
 from .peers import CachedImages
 from .policy import Policy
@@ -61,8 +62,6 @@
 GRANT_WAIT_S = 0.25
 #: machines that the grant of an array names before it says that tasks may be anywhere
 MOST_NAMED = 16
-#: after a computation the leader answers workers and users for so many times as long as it took
-REST = 6.0
 
 
 class MachineRecord(msgspec.Struct, array_like=True):
@@ -112,6 +111,7 @@
         clock: Callable[[], float],
         wall: Callable[[], float],
         api: Api,
+        load: Load,
     ) -> None:
         self.settings = settings
         self.policy = policy
@@ -123,6 +123,7 @@
         self.clock = clock
         self.wall = wall
         self.api = api
+        self.pressure = load
         self._new_books()
         self.started_at = clock()
         self.place_after = self.retarget_after = -math.inf
@@ -535,14 +536,14 @@
             self.check_proved(now)
             self.scheduler.retarget(now)
             end = self.clock()
-            self.retarget_after = end + REST * (end - now)
+            self.retarget_after = end + self.pressure.rest(end - now)
             ledger.changed = True
         if ledger.changed and now >= self.place_after:
             begin = self.clock()
             self.scheduler.place(now)
             ledger.changed = False
             end = self.clock()
-            self.place_after = end + REST * (end - begin)
+            self.place_after = end + self.pressure.rest(end - begin)
 
     # durable records --------------------------------------------------------------------------------------
 
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,100 @@
+"""Stories of a controller whose share of a processor does not suffice."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from grebestand.controller import Controller
+from grebestand.machines import LoadState
+from grebestand.overload import RECOVERY_S, Load
+from grebestand.settings import Quota
+from world import SETTINGS, Clock, Node, World
+
+
+def small_quota(cpu: float, memory_mb: float, sockets: int) -> str:
+    return f"{SETTINGS}\n[params.quota]\ncpu = {cpu}\nmemory_mb = {memory_mb}\nsockets = {sockets}\n"
+
+
+def felt(load: Load, late_s: float) -> LoadState:
+    load.felt(late_s)
+    return load.state
+
+
+def test_being_late_is_a_state_that_is_entered_at_once_and_left_step_by_step() -> None:
+    clock = Clock()
+    load = Load(Quota(), clock)
+    assert felt(load, 0.05) is LoadState.NORMAL
+    assert felt(load, 0.3) is LoadState.STRAINED
+    assert felt(load, 2.5) is LoadState.OVERLOADED
+    # one quick moment does not mean that it is over
+    clock.now += RECOVERY_S / 2
+    assert felt(load, 0.0) is LoadState.OVERLOADED
+    clock.now += RECOVERY_S
+    assert felt(load, 0.0) is LoadState.STRAINED
+    assert felt(load, 0.0) is LoadState.STRAINED
+    clock.now += RECOVERY_S
+    assert felt(load, 0.01) is LoadState.NORMAL
+
+
+def test_a_smaller_share_places_less_often_and_a_late_controller_less_again() -> None:
+    """With rest in proportion to a pass alone, placing took a seventh of a core: more than half of a share of 0.24."""
+    clock = Clock()
+    whole, part = Load(Quota(cpu_share=1.0), clock), Load(Quota(cpu_share=0.25), clock)
+    assert part.rest(0.01) == pytest.approx(4 * whole.rest(0.01))
+    usual = part.rest(0.01)
+    part.felt(0.5)
+    assert part.rest(0.01) > 2 * usual
+
+
+@pytest.mark.parametrize(
+    ("cpu", "memory_mb", "sockets", "most"), [(0.05, 4096, 8000, 20), (1.0, 16, 8000, 16), (1.0, 4096, 160, 20)]
+)
+def test_what_is_taken_in_at_once_follows_what_the_process_may_use(
+    cpu: float, memory_mb: float, sockets: int, most: int
+) -> None:
+    """Bodies of 64 KiB, connections and waiting requests: none of them may end a small process in a burst."""
+    world = World(small_quota(cpu, memory_mb, sockets))
+    front = Controller(world.settings, world.policy)
+    assert front.pressure.most_users == most
+    asked = {"REQUEST_METHOD": "POST", "PATH_INFO": "/v2/runs"}
+    front.users_busy = most
+    answer = front._answer(asked)
+    assert (answer.status, answer.retry_after) == (503, 1)
+    assert front.users_busy == most
+
+
+def test_an_overloaded_controller_sends_polls_away_and_still_accepts_and_hears_reports() -> None:
+    world = World()
+    node = Node(world, "node-0")
+    term = node.lead()
+    worker = world.worker("n-000000")
+    front = Controller(world.settings, world.policy)
+    front.leadership, front.term, front.api = node.leadership, term, node.api
+    front.pressure.felt(3.0)
+    front.users_busy = front.pressure.most_users // 2
+    poll = {"REQUEST_METHOD": "GET", "PATH_INFO": "/v2/runs/j-000001"}
+    assert front._answer(poll).status == 503
+    assert front.pressure.takes(front.users_busy, poll=False)
+    assert front.checkin(json.dumps({
+        "vessel": worker.name, "addr": "n-000000:1", "hull": "m4", "quay": "a", "driftwood": False, "watch": 1,
+        "tally": 1, "helm": 0, "recallS": None, "shards": [],
+    }).encode()).status == 200  # fmt: skip
+
+
+def test_a_controller_stopped_for_longer_than_its_hold_starts_nothing() -> None:
+    """A controller stopped for a minute finds its authority gone before it does anything else."""
+    world = World()
+    node = Node(world, "node-0")
+    term = node.lead()
+    worker = world.worker("n-000000")
+    world.settle(term, 3)
+    ident = world.accept(node, shards=2)
+    world.clock.now += 60.0
+    assert world.checkin(term, worker) is None
+    term.step_schedule(world.clock.now)
+    node.leadership.check_clock()
+    term.step_schedule(world.clock.now)
+    assert not worker.started
+    assert not term.ledger.jobs[ident].running()
--- a/tests/world.py
+++ b/tests/world.py
@@ -16,6 +16,7 @@
 from grebestand.http import Unreachable
 from grebestand.leadership import Leadership
 from grebestand.machines import LeaderState
+from grebestand.overload import Load
 from grebestand.settings import Settings, parse
 from grebestand.state import StateClient
 from grebestand.term import Term
@@ -265,11 +266,12 @@
         self.term: Term | None = None
 
     def lead(self) -> Term:
+        p = self.world.settings.params
         self.leadership.look()
         assert self.leadership.state is LeaderState.LOADING, self.leadership.state
         self.term = Term(
             self.world.settings, self.world.policy, self.leadership, self.state, self.cloud, self.world.direct,
-            self.world.clock, self.world.clock, self.api,
+            self.world.clock, self.world.clock, self.api, Load(p.quota, self.world.clock),
         )  # fmt: skip
         self.term.load()
         self.leadership.move(LeaderState.LEADING, "test")
