Counts kept where places change: what leaves a machine, what it holds by type

Passes walked all places of a machine to see whether any of them was told to stop, and migration looked through every empty slot for every place. fits is used where its comparisons were written out.

--- a/src/grebestand/fleet.py
+++ b/src/grebestand/fleet.py
@@ -19,9 +19,9 @@
 class Machine:
     __slots__ = (
         "accept", "addr", "blocked_until", "config", "doom_at", "drain", "empty_since", "error_at", "error_jobs",
-        "errors", "free", "given_at", "heard_at", "images", "index", "kind", "name", "places", "pulls", "rank",
-        "recorded", "reserved_for", "reserved_until", "room", "seq", "session", "slots", "spot", "state", "token",
-        "used", "zone",
+        "errors", "free", "given_at", "heard_at", "images", "index", "kind", "leaving", "name", "places", "pulls",
+        "rank", "recorded", "reserved_for", "reserved_until", "room", "seq", "session", "slots", "spot", "state",
+        "token", "used", "zone",
     )  # fmt: skip
 
     def __init__(self, index: int, name: str, addr: str, kind: int, zone: int, spot: bool, now: float) -> None:
@@ -38,6 +38,8 @@
         self.slots: dict[int, int] = {}
         #: by the name that reports give the task
         self.places: dict[str, Place] = {}
+        #: how many of them have been told to stop
+        self.leaving = 0
         self.state = MachineState.NEW
         self.recorded = False
         self.session = 0
@@ -152,6 +154,8 @@
                 del m.pulls[job.image]  # nobody waits for it any more, so the machine gives it up
         elif job.image in m.images:
             m.images.move_to_end(job.image)  # used until now
+        if place.stop is not None:
+            m.leaving -= 1
         del m.places[place.name]
         if not m.places:
             m.empty_since = now
--- a/src/grebestand/scheduler.py
+++ b/src/grebestand/scheduler.py
@@ -25,6 +25,7 @@
     fits,
     gpa,
     how_many,
+    plus,
     share,
 )
 from .settings import Objective
@@ -269,8 +270,8 @@
 
     def _holdings(self, m: Machine, width: int) -> Config:
         wide = [0] * width
-        for place in m.places.values():
-            wide[place.job.type] += 1
+        for kind, count in m.slots.items():
+            wide[kind] = count
         return tuple(wide)
 
     def _measure_shortage(
@@ -596,11 +597,10 @@
             if not self._allowed(job, m):
                 continue
             fetch = IDLE_WEIGHT * self._fetch_s(job, m) * job.size[0] / 1e6
-            leaving = any(p.stop is not None for p in m.places.values())
             free = min(how_many(job.size, m.free), job.spec.tasks)
             if free > 0:
                 offers.append(Offer(m, free, [], fetch, ready=True))
-            if patient or (leaving and free > 0):
+            if patient or (m.leaving and free > 0):
                 continue
             for tasks in range(min(how_many(job.size, m.room), job.spec.tasks), free, -1):
                 found = self._eviction(job, m, tasks, now)
@@ -714,26 +714,23 @@
 
     def _eviction(self, job: Job, m: Machine, tasks: int, now: float) -> tuple[list[Place], float] | None:
         """The cheapest victims on one machine that free room for so many tasks, or None if none can."""
-        need = tuple(tasks * s for s in job.size)
-        room = list(m.free)
+        need = (tasks * job.size[0], tasks * job.size[1], tasks * job.size[2])
+        room = m.free
         victims: list[Place] = []
         cost = 0.0
-        for place in m.places.values():
-            if place.stop is not None:
-                for i, s in enumerate(place.job.size):
-                    room[i] += s
+        if m.leaving:
+            for place in m.places.values():
+                if place.stop is not None:
+                    room = plus(room, place.job.size)
         for loss, place in self._victims(job, m, now):
-            if room[0] >= need[0] and room[1] >= need[1] and room[2] >= need[2]:
+            if fits(need, room):
                 break
             if place.stop is not None or place.state is PlaceState.GONE:
                 continue  # since the list was made
             victims.append(place)
             cost += loss
-            for i, s in enumerate(place.job.size):
-                room[i] += s
-        if room[0] >= need[0] and room[1] >= need[1] and room[2] >= need[2]:
-            return victims, cost
-        return None
+            room = plus(room, place.job.size)
+        return (victims, cost) if fits(need, room) else None
 
     def _displace(self, victims: list[Place], job: Job, now: float) -> None:
         for victim in victims:
@@ -763,7 +760,7 @@
         for m in ready:
             if not self._allowed(job, m) or m.reserved_for is not None:
                 continue
-            if any(p.stop is not None for p in m.places.values()):
+            if m.leaving:
                 continue
             found = self._eviction(job, m, 1, now)
             if found is not None and found[0]:
@@ -778,13 +775,15 @@
     def _migrate(self, now: float) -> None:
         """Moves checkpointed work from the highest-rank reject machine into an empty accept slot of its type."""
         waiting = {j.type for j in self.ledger.waiting_jobs()}
-        moving = sum(1 for m in self.fleet.machines for p in m.places.values() if p.stop == "migration")
-        empty: dict[int, list[Machine]] = {}
+        moving = sum(1 for m in self.fleet.machines if m.leaving for p in m.places.values() if p.stop == "migration")
+        empty: dict[int, dict[Machine, int]] = {}
         for m in self.fleet.machines:
             if m.accept and self.fleet.usable(m, now) and m.reserved_for is None:
                 for k, n in enumerate(m.config):
                     if n > m.slots_used(k):
-                        empty.setdefault(k, []).extend([m] * (n - m.slots_used(k)))
+                        empty.setdefault(k, {})[m] = n - m.slots_used(k)
+        #: types and images for which no slot will do; each place in turn once looked through all the slots
+        hopeless: set[tuple[int, int]] = set()
         rejected = sorted(
             (m for m in self.fleet.machines if not m.accept and m.rank and self.fleet.usable(m, now)),
             key=lambda m: -m.rank,
@@ -804,9 +803,16 @@
                     and place.stop is None
                     and place.job.type not in waiting
                 ):
-                    slots = empty.get(place.job.type, [])
+                    sought = place.job.type, place.job.image
+                    if sought in hopeless:
+                        continue
+                    slots = empty.get(place.job.type, {})
                     to = next((s for s in slots if self._fetch_s(place.job, s) <= self.fleet.report_s), None)
-                    if to is not None:
-                        slots.remove(to)
-                        moving += 1
-                        self.desk.stop(place, "migration", spec.save_s + 1.0, now)
+                    if to is None:
+                        hopeless.add(sought)
+                        continue
+                    slots[to] -= 1
+                    if not slots[to]:
+                        del slots[to]
+                    moving += 1
+                    self.desk.stop(place, "migration", spec.save_s + 1.0, now)
--- a/src/grebestand/workers.py
+++ b/src/grebestand/workers.py
@@ -68,6 +68,8 @@
             return
         if place.stop is not None and grace >= place.grace:
             return
+        if place.stop is None:
+            m.leaving += 1
         place.stop, place.grace = why, grace
         self.urgent.add(m.index)
 
