Headers are parsed once for each block

Half the time of an HTTP request went into the standard library's header parser (0.80 of 1.77 s for 3047 requests under a profiler); workers and users send the same few blocks. The library still parses each new block.

--- a/src/grebestand/controller.py
+++ b/src/grebestand/controller.py
@@ -6,12 +6,12 @@
 import random
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import Any, ClassVar
 
 import gevent
 import msgspec
 from gevent.pool import Pool
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import WSGIHandler, WSGIServer, headers_factory
 
 from .api import Answer, Api
 from .budget import Budget, Urgency
@@ -40,9 +40,49 @@
 }  # fmt: skip
 
 
+#: blocks of headers up to this size are remembered, and so many of them
+BLOCK_BYTES, BLOCKS = 1024, 256
+#: what `http.client` reads of a line of headers
+LINE_BYTES = 65537
+
+
+class _Replay:
+    """Lines that were read already, and then the rest of what comes."""
+
+    def __init__(self, lines: list[bytes], rest: Any) -> None:
+        self._lines = iter(lines)
+        self._rest = rest
+
+    def readline(self, limit: int = LINE_BYTES) -> bytes:
+        line = next(self._lines, None)
+        return self._rest.readline(limit) if line is None else line
+
+
 class _Handler(WSGIHandler):  # type: ignore[misc]
     """A connection that sends no complete request for long is closed: it would hold a socket for ever."""
 
+    #: workers and users send the same few blocks again and again; parsing one took half the time of a request
+    _parsed: ClassVar[dict[bytes, Any]] = {}
+
+    def MessageClass(self, rfile: Any, *_: Any) -> Any:
+        lines = []
+        size = 0
+        while size <= BLOCK_BYTES:
+            lines.append(rfile.readline(LINE_BYTES))
+            size += len(lines[-1])
+            if lines[-1] in (b"\r\n", b"\n", b""):
+                break
+        else:
+            return headers_factory(_Replay(lines, rfile))
+        block = b"".join(lines)
+        found = self._parsed.get(block)
+        if found is None:
+            found = headers_factory(_Replay(lines, rfile))
+            if len(self._parsed) >= BLOCKS:
+                self._parsed.pop(next(iter(self._parsed)))
+            self._parsed[block] = found
+        return found
+
     def read_requestline(self) -> Any:
         self.socket.settimeout(120.0)
         line = super().read_requestline()
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import io
 import json
 from pathlib import Path
+from typing import Any
 
 import gevent
 import pytest
 
-from grebestand import policy
+from grebestand import controller, policy
 from grebestand.budget import Budget, Shed, Urgency
 from grebestand.cli import main
 from grebestand.placement import MICRO, Pool, Seat, Slot, cra, gpa, max_reward
@@ -124,6 +126,28 @@
     assert err.count("\n") == 1 and names in err
 
 
+def test_headers_are_parsed_once_for_each_block_and_never_mixed_up() -> None:
+    """Parsing the headers, the same ones for every report of a size, took half the time of a request."""
+    handler = controller._Handler.__new__(controller._Handler)
+    controller._Handler._parsed.clear()
+
+    def read(text: bytes) -> tuple[Any, bytes]:
+        rfile = io.BytesIO(text + b"BODY")
+        return handler.MessageClass(rfile, 0), rfile.read()
+
+    first, rest = read(b"Host: a\r\nContent-Length: 4\r\n\r\n")
+    again, _ = read(b"Host: a\r\nContent-Length: 4\r\n\r\n")
+    other, _ = read(b"Host: a\r\nContent-Length: 5\r\n\r\n")
+    assert rest == b"BODY" and again is first
+    assert first.get("content-length") == "4" and other.get("content-length") == "5"
+    long, rest = read(b"Host: a\r\nX: " + b"y" * 5000 + b"\r\nContent-Length: 6\r\n\r\n")
+    assert rest == b"BODY" and long.get("content-length") == "6" and len(long.get("x")) == 5000
+    for number in range(2 * controller.BLOCKS):
+        read(b"Content-Length: %d\r\n\r\n" % number)
+    assert len(controller._Handler._parsed) <= controller.BLOCKS
+    assert read(b"X: " + b"y" * 70000 + b"\r\n\r\n")[0].status
+
+
 def test_unknown_settings_are_ignored() -> None:
     assert parse("novelty = 3\n" + SETTINGS + "\n[params.later]\nx = 1\n").params.nodes == 1
 
