--- a/src/grebestand/scheduler.py
+++ b/src/grebestand/scheduler.py
@@ -49,6 +49,7 @@
 UNEVEN = 0.5
 #: a task is moved only after it has run so many times as long as it takes to save
 MOVE_AFTER = 10.0
+NO_ROOM_FOR_GANG = "not all slots are free at once, nor can they be cleared in one zone"
 #: a stopped task starts again about so much later at the earliest: saving, a report, an image, its turn
 TIGHT_S = 30.0
 
@@ -115,6 +116,8 @@
         self._options: dict[tuple[int, int, int], list[tuple[float, Place]]] = {}
         #: sizes for which the pass has found no slot, by type and whether the job has waited for a period
         self._no_slot: dict[tuple[int, int, bool], Amounts] = {}
+        #: the smallest gang for which the pass has found no room, by type, how it may be spread, and whose work may go
+        self._no_gang: dict[tuple[int, bool, bool, int], tuple[int, Amounts]] = {}
         #: images for which the machines that have them had room enough when targets were last set
         self.well_spread: set[int] = set()
         self.within: dict[str, list[float]] = {}
@@ -362,6 +365,7 @@
         self.borrowers = {t for t, team in enumerate(self.ledger.teams) if team.borrows()}
         self._options = {}
         self._no_slot = {}
+        self._no_gang = {}
         reserved: set[str] = set()
         for m in self.fleet.machines:
             if m.reserved_for is not None:
@@ -372,7 +376,7 @@
         ready = [m for m in self.fleet.machines if self.fleet.usable(m, now)]
         for job in waiting:
             if job.gang:
-                self._place_gang(job, ready, now)
+                self._place_gang(job, ready, now, job.spec.id in reserved)
             else:
                 self._place_tasks(job, ready, now, job.spec.id in reserved)
         self.queue = [j for j in waiting if not j.gang and j.waiting() > 0]
@@ -541,7 +545,7 @@
             m.index,
         )
 
-    def _place_gang(self, job: Job, ready: list[Machine], now: float) -> None:
+    def _place_gang(self, job: Job, ready: list[Machine], now: float, has_reserved: bool) -> None:
         """Whole or not at all: every task needs a slot at the same moment."""
         n = job.spec.tasks
         if job.places:
@@ -550,12 +554,20 @@
         if self.ledger.teams[job.team].headroom(job.size) < n:
             job.why_waiting = "team limit"
             return
+        # nothing in a pass makes room for a gang like one that found none; trying each of thirty took 130 ms
+        alike = job.type, job.spec.one_zone, job.spec.spread, self._reclaims_for(job, now)
+        tasks, size = self._no_gang.get(alike, (n + 1, job.size))
+        if n >= tasks and fits(size, job.size) and not has_reserved:
+            job.why_waiting = NO_ROOM_FOR_GANG
+            return
         # one bad machine would cost the whole gang its start
         ready = [m for m in ready if not m.errors or now - m.error_at > GANG_PROBATION_S]
         offers = self._offers(job, ready, now)
         chosen = self._choose_gang(job, offers)
         if chosen is None:
-            job.why_waiting = "not all slots are free at once, nor can they be cleared in one zone"
+            job.why_waiting = NO_ROOM_FOR_GANG
+            if not job.avoid and not self._patient(job, self.knobs.preempt_after_s, now):
+                self._no_gang[alike] = n, job.size
             return
         if not all(offer.ready for offer, _ in chosen):
             job.why_waiting = "its slots are being cleared"
@@ -675,15 +687,18 @@
             return mine < theirs
         return reclaims and not other.guaranteed and other.team != job.team and self.ledger.teams[other.team].borrows()
 
+    def _reclaims_for(self, job: Job, now: float) -> int:
+        """The team for which the job may take back a guarantee from others, or -1."""
+        others = job.guaranteed and bool(self.borrowers - {job.team})
+        return job.team if others and now - job.wait_since >= self.knobs.reclaim_after_s else -1
+
     def _victims(self, job: Job, m: Machine, now: float) -> list[tuple[float, Place]]:
         """What the job may displace on a machine, the cheapest first; found once a pass for jobs alike."""
-        reclaims = (
-            job.guaranteed and bool(self.borrowers - {job.team}) and now - job.wait_since >= self.knobs.reclaim_after_s
-        )
-        key = (m.index, job.rank, job.team if reclaims else -1)
+        team = self._reclaims_for(job, now)
+        key = (m.index, job.rank, team)
         found = self._options.get(key)
         if found is None:
-            found = [(self._loss(p, now), p) for p in m.places.values() if self._may_displace(job, p, reclaims)]
+            found = [(self._loss(p, now), p) for p in m.places.values() if self._may_displace(job, p, team >= 0)]
             found.sort(key=lambda o: o[0])
             self._options[key] = found
         return found
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -14,9 +14,10 @@
 from grebestand.controller import Controller
 from grebestand.fleet import Machine
 from grebestand.leadership import Fenced
-from grebestand.ledger import Place
+from grebestand.ledger import Job, Place
 from grebestand.machines import JobState, LeaderState, MachineState, PlaceState
 from grebestand.peers import CachedImages
+from grebestand.scheduler import Offer
 from grebestand.state import put
 from grebestand.wire import Command, Orders, Report, TaskReport, TaskStatus, Why
 from world import SETTINGS, TYPES, Node, Worker, World
@@ -977,3 +978,31 @@
     assert again.term is not None
     world.settle(again.term, 6)
     assert [task for task, _ in w.started] == [f"{ident}/0"]
+
+
+def test_of_many_gangs_alike_only_the_smallest_looks_for_room_that_is_not_there(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """On a day with a zone cut off thirty gangs waited, and each pass looked at every machine for each of them."""
+    world, node, (w, _other) = start_world(2)
+    term = node.term
+    assert term is not None
+    for _ in range(2):
+        world.accept(node, shape="ensemble", shards=1, cpus=16.0)
+    world.settle(term, 4)
+    waiting = [world.accept(node, shape="ensemble", shards=n, cpus=16.0) for n in (2, 2, 1, 1, 2, 1)]
+    looked: list[str] = []
+    offers = term.scheduler._offers
+
+    def counted(job: Job, ready: list[Machine], now: float) -> list[Offer]:
+        looked.append(job.spec.id)
+        return offers(job, ready, now)
+
+    monkeypatch.setattr(term.scheduler, "_offers", counted)
+    term.scheduler.place(world.clock.now)
+    assert len(looked) <= 2
+    assert all("not all slots" in term.ledger.jobs[i].why_waiting for i in waiting)
+    # room for one: the next pass finds it
+    w.finish(w.running()[0])
+    world.settle(term, 6)
+    assert sum(1 for i in waiting if term.ledger.jobs[i].places) == 1
