--- a/src/grebestand/controller.py
+++ b/src/grebestand/controller.py
@@ -342,7 +342,7 @@
         while True:
             gevent.sleep(IMAGES_S)
             term = self.term
-            if term is not None and term.loaded and self.leadership.entitled():
+            if term is not None and term.loaded and self.leadership.entitled() and self.pressure.spare:
                 self.cached_images = term.cached_images()
                 for peer in self.peers:
                     peer.tell("/images", self.cached_images, CachedImages)
--- a/src/grebestand/machines.py
+++ b/src/grebestand/machines.py
@@ -103,7 +103,7 @@
     """How far a controller is behind, the higher the worse."""
 
     NORMAL = 0
-    STRAINED = 1  # its loops are late: passes over everything come less often
+    STRAINED = 1  # its loops are late: it does without what only makes things better
     OVERLOADED = 2  # users would notice: most polls are sent away as well
 
 
--- a/src/grebestand/overload.py
+++ b/src/grebestand/overload.py
@@ -1,7 +1,7 @@
 """How far a controller is behind its clock, as a state with a name, and what it still takes on in each.
 
 When the share of a processor does not suffice, everything is late by the same amount. What keeps the promises goes
-first: renewing the hold, then reports from workers, then accepting and cancelling; placing and polls give way.
+first: renewing the hold, reports from workers, accepting and cancelling, placing; the rest gives way.
 """
 
 from __future__ import annotations
@@ -19,9 +19,6 @@
 #: late by so much, it is strained or overloaded; after a while of less than half of that it has recovered
 STRAINED_S, OVERLOADED_S = 0.15, 1.0
 RECOVERY_S = 2.0
-#: full passes over all jobs and machines are followed by rest of so many times their length, on a whole core
-REST = 6.0
-SLOWER = {LoadState.NORMAL: 1.0, LoadState.STRAINED: 3.0, LoadState.OVERLOADED: 6.0}
 #: what a request that is being answered may hold: its body, its buffers and its stack
 REQUEST_KB = 128.0
 
@@ -31,11 +28,11 @@
         self.clock = clock
         self.state = LoadState.NORMAL
         self.worst_at = clock()
-        self.cpu = min(1.0, max(0.05, quota.cpu_share))
-        #: requests of users that are answered at once; an eighth of the memory and of the sockets
-        self.most_users = int(
-            max(8.0, min(400 * self.cpu, quota.memory_mb * 1024 / 8 / REQUEST_KB, quota.max_connections / 8))
-        )
+        by_processor = 400 * min(1.0, quota.cpu_share)
+        # an eighth of the memory and of the sockets
+        by_memory = quota.memory_mb * 1024 / REQUEST_KB / 8
+        #: requests of users that are answered at the same time
+        self.most_users = int(max(8.0, min(by_processor, by_memory, quota.max_connections / 8)))
 
     def move(self, new: LoadState, why: str) -> None:
         """The one function that changes what load a controller thinks it is under."""
@@ -60,9 +57,14 @@
             down = LoadState.STRAINED if self.state is LoadState.OVERLOADED else LoadState.NORMAL
             self.move(down, f"late by less than {limit / 2:.2f} s for {RECOVERY_S:.0f} s")
 
-    def rest(self, took_s: float) -> float:
-        """How long passes over everything stop after one that took so long."""
-        return took_s * REST * SLOWER[self.state] / self.cpu
+    @property
+    def spare(self) -> bool:
+        """Whether there is time for what only makes things better: migration, and telling others of images.
+
+        Placing is not slowed down. Gangs start in full passes, often after two or three of them, so with longer
+        rests a late controller made everything else late as well.
+        """
+        return self.state is LoadState.NORMAL
 
     def takes(self, users: int, poll: bool) -> bool:
         """Whether one more request of a user is taken in while so many are being answered."""
--- a/src/grebestand/scheduler.py
+++ b/src/grebestand/scheduler.py
@@ -158,7 +158,7 @@
         rooms = [m.room for m in self.fleet.machines if m.room != (0, 0, 0)]
         return max(rooms) if rooms else (1_000_000, 1_000_000, 1_000_000)
 
-    def retarget(self, now: float) -> None:
+    def retarget(self, now: float, spare: bool = True) -> None:
         """Targets, greedy plan, ranks and groups; templates change only where nothing has to be stopped for it."""
         self.retargeted_at = now
         self.knobs = self.knobs_of()
@@ -200,7 +200,7 @@
                 m.config = tuple(wide)
         self._measure_shortage(slots, need, targets, pools, sizes, zoned)
         self._measure_images()
-        if self.knobs.migrate:
+        if spare and self.knobs.migrate:
             self._migrate(now)
         self._explain(now)
 
--- a/src/grebestand/term.py
+++ b/src/grebestand/term.py
@@ -62,6 +62,8 @@
 GRANT_WAIT_S = 0.25
 #: machines that the grant of an array names before it says that tasks may be anywhere
 MOST_NAMED = 16
+#: after a computation the leader answers workers and users for so many times as long as it took
+REST = 6.0
 
 
 class MachineRecord(msgspec.Struct, array_like=True):
@@ -534,16 +536,16 @@
             ledger.arrived = False
             self.fleet.sweep_silence(now)
             self.check_proved(now)
-            self.scheduler.retarget(now)
+            self.scheduler.retarget(now, self.pressure.spare)
             end = self.clock()
-            self.retarget_after = end + self.pressure.rest(end - now)
+            self.retarget_after = end + REST * (end - now)
             ledger.changed = True
         if ledger.changed and now >= self.place_after:
             begin = self.clock()
             self.scheduler.place(now)
             ledger.changed = False
             end = self.clock()
-            self.place_after = end + self.pressure.rest(end - begin)
+            self.place_after = end + REST * (end - begin)
 
     # durable records --------------------------------------------------------------------------------------
 
