--- a/src/grebestand/term.py
+++ b/src/grebestand/term.py
@@ -764,7 +764,8 @@
             record.spot,
         )
         if name not in self.old_rents:
-            self.commit([], [put(key, msgspec.to_builtins(record))], Urgency.PROGRESS)
+            # one change for up to fifty machines: behind grants and progress, rentals of a burst once came 40 s late
+            self.commit([], [put(key, msgspec.to_builtins(record))], Urgency.TAKEOVER)
             self.old_rents[name] = record
         self.leadership.guard()
         now = self.clock()
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -11,6 +11,7 @@
 import pytest
 
 from grebestand import wire, workers
+from grebestand.budget import Urgency
 from grebestand.controller import Controller
 from grebestand.fleet import Machine
 from grebestand.leadership import Fenced
@@ -19,7 +20,7 @@
 from grebestand.peers import CachedImages
 from grebestand.scheduler import Offer
 from grebestand.state import put
-from grebestand.wire import Command, Orders, Report, TaskReport, TaskStatus, Why
+from grebestand.wire import Change, Command, Condition, Orders, Report, TaskReport, TaskStatus, Why
 from world import SETTINGS, TYPES, Node, Worker, World
 
 
@@ -1006,3 +1007,30 @@
     w.finish(w.running()[0])
     world.settle(term, 6)
     assert sum(1 for i in waiting if term.ledger.jobs[i].places) == 1
+
+
+def test_rentals_do_not_stand_in_line_behind_grants_and_progress(monkeypatch: pytest.MonkeyPatch) -> None:
+    """In a burst the writes of grants left none for the records of rentals, and the machines came 40 s late."""
+    world = World(rules="rent = true\n")
+    node = Node(world, "node-0")
+    term = node.lead()
+    urgencies: dict[str, Urgency] = {}
+    commit = term.state.commit
+
+    def watched(
+        conditions: list[Condition], changes: list[Change], urgency: Urgency, timeout: float = 1.5
+    ) -> tuple[int, list[str]]:
+        for change in changes:
+            urgencies.setdefault(str(change.put or change.delete).split("/")[0], urgency)
+        return commit(conditions, changes, urgency, timeout)
+
+    monkeypatch.setattr(term.state, "commit", watched)
+    term.fleet.learn_types(TYPES)
+    world.accept(node, shards=200)
+    world.clock.now += 10.0
+    term.step_schedule(world.clock.now)
+    term.step_fleet()
+    assert world.cloud.requests
+    world.worker("n-000100")
+    world.settle(term, 4)
+    assert urgencies["rent"] < urgencies["grants"]
