A leader no longer gives way in an outage of all

Cause: it compared how recent its own and a peer's last success were. In an outage all are served until the same moment, and where the peer's look fell a second after the leader's last renewal, the leader resigned 2 s into the outage; its authority, and the leases that rest on it, ended 10 s early. A peer now has to have been served well after this controller's first failure, by an answer to this controller's own question, as a message may have been held back for minutes.

--- a/src/grebestand/controller.py
+++ b/src/grebestand/controller.py
@@ -34,6 +34,8 @@
 TYPES_KEY = "meta/types"
 #: how often the leader tells the others which images the machines have
 IMAGES_S = 5.0
+#: a peer's word on when it last reached the state service is as old as this at most
+OUTAGE_MARGIN_S = 1.5
 REASONS = {
     200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
     421: "Misdirected Request", 422: "Unprocessable Entity", 503: "Service Unavailable",
@@ -137,6 +139,8 @@
             self.peers.append(Peer(known.name, HttpTransport(host, port, 2, connect_s=0.8)))
         self.term: Term | None = None
         self.state_ok_at = self.clock()
+        #: when the first of its requests since then that failed was sent
+        self.state_failed_at: float | None = None
         self.users_busy = 0
         self.pressure = Load(p.quota, self.clock)
         self.leader_counts: dict[str, tuple[int, int]] = {}
@@ -242,24 +246,27 @@
         """Follows or renews, whichever applies; gives way where others can do better."""
         lead = self.leadership
         while True:
+            sent = self.clock()
             try:
                 lead.check_clock()
                 if lead.state in (LeaderState.FOLLOWING, LeaderState.RESIGNED):
                     lead.look()
-                    self.state_ok_at = self.clock()
+                    self.state_answered(sent, True)
                     gevent.sleep(0.8 + 0.4 * self.rng.random())
                     continue
                 if lead.renew():
-                    self.state_ok_at = self.clock()
+                    self.state_answered(sent, True)
                     if lead.state is LeaderState.PAUSED:
                         self._resume()
                     self._check_workers()
                     gevent.sleep(min(1.5, lead.ttl_s / 6))
                 else:
-                    self._consider_handover()
+                    self.state_answered(sent, False)
+                    self.consider_handover()
                     gevent.sleep(0.3)
             except StateError as e:
                 log.debug("leadership: %s", e)
+                self.state_answered(sent, False)
                 gevent.sleep(0.3 + 0.3 * self.rng.random())
             except Exception:
                 log.exception("leadership loop failed")
@@ -270,17 +277,36 @@
         new = LeaderState.LEADING if loaded else LeaderState.LOADING
         self.leadership.move(new, "the hold outlived the silence")
 
-    def _consider_handover(self) -> None:
+    def state_answered(self, sent: float, well: bool) -> None:
+        """What became of a request to the state service that was sent then."""
+        if well:
+            self.state_ok_at, self.state_failed_at = self.clock(), None
+        elif self.state_failed_at is None:
+            self.state_failed_at = sent
+
+    def _better_placed(self) -> Peer | None:
+        """A peer that reached the state service after this controller had failed to for a while.
+
+        That the peer's last success is recent is not enough: in an outage all are served until the same moment, and
+        a leader that gave way to a peer served a second later ended its term, and its workers' leases, for nothing.
+        """
+        failed = self.state_failed_at
+        if failed is None:
+            return None
+        for peer in self.peers:
+            fresh = peer.last is not None and self.clock() - peer.heard_at < 2.5
+            if fresh and peer.last is not None and peer.heard_at - peer.last.state_age_s > failed + OUTAGE_MARGIN_S:
+                return peer
+        return None
+
+    def consider_handover(self) -> None:
         """If the state service answers others but not this leader, one of them should lead."""
-        now = self.clock()
-        if now - self.state_ok_at < 3.0:
+        if self.clock() - self.state_ok_at < 3.0:
             return
-        for peer in self.peers:
-            fresh = peer.last is not None and now - peer.heard_at < 2.0 and peer.last.state_age_s < 1.5
-            if fresh and self.clock() - self.state_ok_at >= 3.0:
-                token = self.leadership.resign(f"{peer.name} reaches the state service and this one does not", 10.0)
-                peer.tell("/resigned", Resigned(self.settings.name, token), Hello)
-                return
+        peer = self._better_placed()
+        if peer is not None:
+            token = self.leadership.resign(f"{peer.name} reaches the state service and this one does not", 10.0)
+            peer.tell("/resigned", Resigned(self.settings.name, token), Hello)
 
     def _check_workers(self) -> None:
         """A leader that no worker can reach keeps everybody waiting: it gives way."""
@@ -316,9 +342,6 @@
         )
 
     def _take_hello(self, hello: Hello) -> None:
-        for peer in self.peers:
-            if peer.name == hello.name:
-                peer.heard_at, peer.last = self.clock(), hello
         if hello.token:
             self.leader_counts = hello.counts
 
@@ -326,6 +349,8 @@
         while True:
             answer = peer.tell("/hello", self._hello(), Hello)
             if answer is not None:
+                # answers only: they are as old as the request allows, while a message may have been held for minutes
+                peer.heard_at, peer.last = self.clock(), answer
                 self._take_hello(answer)
             gevent.sleep(0.9 + 0.2 * self.rng.random())
 
@@ -427,10 +452,7 @@
 
     def healthy(self) -> bool:
         """Unhealthy only if users are better served elsewhere: this one lost the state service, others did not."""
-        now = self.clock()
-        if now - self.state_ok_at < 4.0:
-            return True
-        return not any(p.last is not None and now - p.heard_at < 2.5 and p.last.state_age_s < 2.0 for p in self.peers)
+        return self.clock() - self.state_ok_at < 4.0 or self._better_placed() is None
 
     def checkin(self, body: bytes) -> Answer:
         try:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -17,7 +17,7 @@
 from grebestand.leadership import Fenced
 from grebestand.ledger import Job, Place
 from grebestand.machines import JobState, LeaderState, MachineState, PlaceState
-from grebestand.peers import CachedImages
+from grebestand.peers import CachedImages, Hello, Peer
 from grebestand.scheduler import Offer
 from grebestand.state import put
 from grebestand.wire import Change, Command, Condition, Orders, Report, TaskReport, TaskStatus, Why
@@ -469,6 +469,31 @@
     assert node.leadership.state.name == "LOADING"  # the peer let its hold end; this one may lead again
 
 
+def test_a_leader_gives_way_to_a_peer_that_is_served_but_not_in_an_outage_of_all() -> None:
+    """Two seconds into an outage a leader gave way to a peer that had been served last, a second after it. Its
+    authority ended ten seconds early, and with it the leases of 5300 tasks."""
+    world, node, _workers = start_world(1)
+    front = Controller(world.settings, world.policy)
+    front.clock, front.leadership = world.clock, node.leadership
+    silent = World().state
+    silent.request = lambda *_: (503, b"")  # type: ignore[method-assign]
+    peer = Peer("node-1", silent)
+    front.peers = [peer]
+    front.state_answered(world.clock.now, True)
+    served_at = world.clock.now + 1.2
+    for _ in range(12):
+        world.clock.now += 0.5
+        front.state_answered(world.clock.now, False)
+        peer.heard_at, peer.last = world.clock.now, Hello("node-1", 0, world.clock.now - served_at)
+        front.consider_handover()
+    assert node.leadership.entitled() and front.healthy()
+    # the peer is served again, and this one is not
+    peer.heard_at, peer.last = world.clock.now, Hello("node-1", 0, 0.1)
+    assert not front.healthy()
+    front.consider_handover()
+    assert node.leadership.state is LeaderState.RESIGNED
+
+
 def test_an_unrecorded_machine_gets_no_task() -> None:
     world = World()
     w = world.worker("n-000000")
