--- a/src/grebestand/controller.py
+++ b/src/grebestand/controller.py
@@ -36,6 +36,8 @@
 IMAGES_S = 5.0
 #: a peer's word on when it last reached the state service is as old as this at most
 OUTAGE_MARGIN_S = 1.5
+#: authority counts from the last renewal before an outage, so its life is shortened by this much at worst
+RENEW_S = 0.5
 REASONS = {
     200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
     421: "Misdirected Request", 422: "Unprocessable Entity", 503: "Service Unavailable",
@@ -259,7 +261,7 @@
                     if lead.state is LeaderState.PAUSED:
                         self._resume()
                     self._check_workers()
-                    gevent.sleep(min(1.5, lead.ttl_s / 6))
+                    gevent.sleep(min(RENEW_S, lead.ttl_s / 6))
                 else:
                     self.state_answered(sent, False)
                     self.consider_handover()
