--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -7,7 +7,7 @@
 import pytest
 
 from grebestand.controller import Controller
-from grebestand.machines import LoadState
+from grebestand.machines import LoadState, MachineState
 from grebestand.overload import RECOVERY_S, Load
 from grebestand.settings import Quota
 from world import SETTINGS, Clock, Node, World
@@ -107,3 +107,55 @@
     term.step_schedule(world.clock.now)
     assert not worker.started
     assert not term.ledger.jobs[ident].running()
+
+
+def test_all_machines_back_at_once_are_all_answered_and_share_a_few_passes(monkeypatch: pytest.MonkeyPatch) -> None:
+    """After a cut of a zone hundreds of reports come within a second; a pass for each would answer none in time."""
+    world = World()
+    node = Node(world, "node-0")
+    term = node.lead()
+    crowd = [world.worker(f"n-{i:06d}") for i in range(100)]
+    world.settle(term, 3)
+    world.accept(node, shards=3000, cpus=1.0, ramGb=0.1)
+    passes: list[float] = []
+    place = term.scheduler.place
+
+    def slow(now: float) -> None:
+        passes.append(now)
+        place(now)
+        world.clock.now += 0.05
+
+    monkeypatch.setattr(term.scheduler, "place", slow)
+    world.clock.now += 6.0
+    node.leadership.renew()
+    begin = world.clock.now
+    for worker in crowd:
+        world.clock.now += 0.004
+        assert world.checkin(term, worker) is not None
+    assert len(passes) <= 2
+    assert world.clock.now - begin < 1.0
+    assert all(m.heard_at >= begin for m in term.fleet.machines)
+
+
+def test_a_worker_s_answer_that_comes_after_the_authority_proves_nothing() -> None:
+    """A leader that is stopped while a machine answers its token may have been replaced before it reads the answer."""
+    world = World()
+    node = Node(world, "node-0")
+    term = node.lead()
+    worker = world.worker("n-000000")
+    world.settle(term, 3)
+    again = Node(world, "node-0")
+    second = again.lead()
+    machine = second.fleet.by_name[worker.name]
+    assert machine in second.to_fence()
+    answer = world.direct
+
+    def late(addr: str, path: str, body: bytes) -> tuple[int, bytes]:
+        found = answer(addr, path, body)
+        world.clock.now += 30.0
+        return found
+
+    second.direct = late
+    second.fence(machine)
+    assert machine.state is MachineState.UNPROVED and not second.proved
+    assert not second.fencing
