A leader that stays overloaded gives way to one that is not

Controllers now tell each other how late they are; a leader overloaded for 6 s gives way if another is not late, and waits longer the next time.

--- a/src/grebestand/controller.py
+++ b/src/grebestand/controller.py
@@ -18,7 +18,7 @@
 from .cloud import CloudClient, CloudError
 from .http import HttpTransport, Unreachable
 from .leadership import Fenced, Leadership
-from .machines import LeaderState, MachineState
+from .machines import LeaderState, LoadState, MachineState
 from .overload import LOOK_S, Load
 from .peers import CachedImages, Hello, Peer, Resigned
 from .policy import VARIABLES, Policy
@@ -38,6 +38,8 @@
 OUTAGE_MARGIN_S = 1.5
 #: authority counts from the last renewal before an outage, so its life is shortened by this much at worst
 RENEW_S = 0.5
+#: a leader that is overloaded for so long gives way, where somebody is not; the next time it waits longer
+SLOW_S = 6.0
 REASONS = {
     200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
     421: "Misdirected Request", 422: "Unprocessable Entity", 503: "Service Unavailable",
@@ -147,6 +149,8 @@
         self.pressure = Load(p.quota, self.clock)
         self.leader_counts: dict[str, tuple[int, int]] = {}
         self.lost_workers = 0
+        #: how often this controller gave way because it was late
+        self.slow_terms = 0
         #: as the leader last told
         self.cached_images = CachedImages()
 
@@ -261,6 +265,8 @@
                     if lead.state is LeaderState.PAUSED:
                         self._resume()
                     self._check_workers()
+                    if lead.state is LeaderState.LEADING:
+                        self.check_pace()
                     gevent.sleep(min(RENEW_S, lead.ttl_s / 6))
                 else:
                     self.state_answered(sent, False)
@@ -324,7 +330,22 @@
         if not any(self.clock() - peer.heard_at < 3.0 for peer in self.peers):
             return
         self.lost_workers = min(self.lost_workers + 1, 6)
-        token = self.leadership.resign("no worker has reported for too long", 20.0)
+        self._give_way("no worker has reported for too long")
+
+    def check_pace(self) -> None:
+        """A leader too late to answer its workers before their leases end lets one lead that is not."""
+        load, now = self.pressure, self.clock()
+        if load.state is not LoadState.OVERLOADED or now - load.since < SLOW_S * (1 + self.slow_terms):
+            return
+        for peer in self.peers:
+            if peer.last is not None and now - peer.heard_at < 3.0 and peer.last.load == LoadState.NORMAL.value:
+                # if the load is what is too much, and not this controller, handing it on again and again is no help
+                self.slow_terms = min(self.slow_terms + 1, 6)
+                self._give_way(f"late for {now - load.since:.0f} s, and {peer.name} is not")
+                return
+
+    def _give_way(self, why: str) -> None:
+        token = self.leadership.resign(why, 20.0)
         try:
             self.leadership.clear_key(token)
         except StateError:
@@ -341,6 +362,7 @@
             self.leadership.token if leads else 0,
             self.clock() - self.state_ok_at,
             term.counts() if leads and term is not None else {},
+            self.pressure.state.value,
         )
 
     def _take_hello(self, hello: Hello) -> None:
--- a/src/grebestand/overload.py
+++ b/src/grebestand/overload.py
@@ -27,7 +27,7 @@
     def __init__(self, quota: Quota, clock: Callable[[], float]) -> None:
         self.clock = clock
         self.state = LoadState.NORMAL
-        self.worst_at = clock()
+        self.worst_at = self.since = clock()
         by_processor = 400 * min(1.0, quota.cpu_share)
         # an eighth of the memory and of the sockets
         by_memory = quota.memory_mb * 1024 / REQUEST_KB / 8
@@ -40,7 +40,7 @@
             return
         step(LOAD_STEPS, self.state, new, "load")
         log.warning("load: %s -> %s: %s", self.state.name, new.name, why)
-        self.state = new
+        self.state, self.since = new, self.clock()
 
     def felt(self, late_s: float) -> None:
         """What should have been done by now is so much late."""
--- a/src/grebestand/peers.py
+++ b/src/grebestand/peers.py
@@ -23,6 +23,8 @@
     token: int
     state_age_s: float
     counts: dict[str, tuple[int, int]] = {}
+    #: how far it is behind, a `LoadState`
+    load: int = 0
 
 
 class Resigned(msgspec.Struct):
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -7,12 +7,21 @@
 import pytest
 
 from grebestand.controller import Controller
+from grebestand.http import Unreachable
 from grebestand.machines import LoadState, MachineState
 from grebestand.overload import RECOVERY_S, Load
+from grebestand.peers import Hello, Peer
 from grebestand.settings import Quota
 from world import SETTINGS, Clock, Node, World
 
 
+class Gone:
+    """A controller that cannot be reached."""
+
+    def request(self, method: str, path: str, body: bytes, timeout: float) -> tuple[int, bytes]:
+        raise Unreachable("gone")
+
+
 def small_quota(cpu: float, memory_mb: float, sockets: int) -> str:
     return f"{SETTINGS}\n[params.quota]\ncpu = {cpu}\nmemory_mb = {memory_mb}\nsockets = {sockets}\n"
 
@@ -109,6 +118,30 @@
     assert not term.ledger.jobs[ident].running()
 
 
+def test_a_leader_that_stays_overloaded_gives_way_to_one_that_is_not() -> None:
+    """Eight times slower for a minute, a leader that could still renew its hold let the leases of 3700 tasks end."""
+    world = World()
+    node = Node(world, "node-0")
+    node.lead()
+    front = Controller(world.settings, world.policy)
+    front.clock, front.leadership = world.clock, node.leadership
+    front.pressure = Load(Quota(), world.clock)
+    peer = Peer("node-1", Gone())
+    front.peers = [peer]
+    front.pressure.felt(2.0)
+    for wait, load, stays in (
+        (3.0, LoadState.NORMAL, True),
+        (4.0, LoadState.STRAINED, True),
+        (0.0, LoadState.NORMAL, False),
+    ):
+        world.clock.now += wait
+        node.leadership.renew()
+        front.pressure.felt(2.0)
+        peer.heard_at, peer.last = world.clock.now, Hello("node-1", 0, 0.1, load=load.value)
+        front.check_pace()
+        assert node.leadership.entitled() is stays
+
+
 def test_all_machines_back_at_once_are_all_answered_and_share_a_few_passes(monkeypatch: pytest.MonkeyPatch) -> None:
     """After a cut of a zone hundreds of reports come within a second; a pass for each would answer none in time."""
     world = World()
