--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -12,7 +12,8 @@
 from grebestand.overload import RECOVERY_S, Load
 from grebestand.peers import Hello, Peer
 from grebestand.settings import Quota
-from world import SETTINGS, Clock, Node, World
+from grebestand.term import Term
+from world import SETTINGS, Clock, Node, Worker, World
 
 
 class Gone:
@@ -22,6 +23,16 @@
         raise Unreachable("gone")
 
 
+def led_world() -> tuple[World, Node, Term, Worker]:
+    """A leader and one machine that may be given tasks."""
+    world = World()
+    node = Node(world, "node-0")
+    term = node.lead()
+    worker = world.worker("n-000000")
+    world.settle(term, 3)
+    return world, node, term, worker
+
+
 def small_quota(cpu: float, memory_mb: float, sockets: int) -> str:
     return f"{SETTINGS}\n[params.quota]\ncpu = {cpu}\nmemory_mb = {memory_mb}\nsockets = {sockets}\n"
 
@@ -49,11 +60,7 @@
 
 def test_a_late_controller_goes_on_placing_and_does_without_migration(monkeypatch: pytest.MonkeyPatch) -> None:
     """Longer rests for a late controller once made gangs, which start in full passes, wait three times as long."""
-    world = World()
-    node = Node(world, "node-0")
-    term = node.lead()
-    world.worker("n-000000")
-    world.settle(term, 3)
+    world, node, term, _ = led_world()
     moved: list[float] = []
     monkeypatch.setattr(term.scheduler, "_migrate", moved.append)
     term.scheduler.retargeted_at -= 100.0
@@ -103,11 +110,7 @@
 
 def test_a_controller_stopped_for_longer_than_its_hold_starts_nothing() -> None:
     """A controller stopped for a minute finds its authority gone before it does anything else."""
-    world = World()
-    node = Node(world, "node-0")
-    term = node.lead()
-    worker = world.worker("n-000000")
-    world.settle(term, 3)
+    world, node, term, worker = led_world()
     ident = world.accept(node, shards=2)
     world.clock.now += 60.0
     assert world.checkin(term, worker) is None
@@ -172,11 +175,7 @@
 
 def test_a_worker_s_answer_that_comes_after_the_authority_proves_nothing() -> None:
     """A leader that is stopped while a machine answers its token may have been replaced before it reads the answer."""
-    world = World()
-    node = Node(world, "node-0")
-    term = node.lead()
-    worker = world.worker("n-000000")
-    world.settle(term, 3)
+    world, _node, _term, worker = led_world()
     again = Node(world, "node-0")
     second = again.lead()
     machine = second.fleet.by_name[worker.name]
