--- a/run.py
+++ b/run.py
@@ -16,5 +16,6 @@
 if __name__ == "__main__":
     arguments = sys.argv[1:]
     if arguments and arguments[0] == "--config":
-        arguments = ["serve", *arguments]
+        # what the platform's own deployment switches on, beside what the command line names
+        arguments = ["serve", "--with-list", os.path.join(_ROOT, "deploy", "features.toml"), *arguments]
     sys.exit(main(arguments))
--- a/src/grebestand/fleet.py
+++ b/src/grebestand/books/fleet.py
@@ -1,72 +1,18 @@
-"""Machines: what each one is, holds and may hold, and which ones to rent or return."""
+"""All machines, and the only function that changes the state of one."""
 
 from __future__ import annotations
 
-import math
-from collections import OrderedDict
+from ..clocks import DRIFT, MARGIN_S
+from ..states import MACHINE_STEPS, MachineState, PlaceState, step
+from ..wire.cloud import MachineType
+from .amounts import minus, plus, room_of
+from .jobs import Place
+from .ledger import Ledger
+from .machine import Machine
 
-from .ledger import Ledger, Place, room_of
-from .machines import MACHINE_STEPS, MachineState, PlaceState, step
-from .placement import Amounts, Config, minus, plus
-from .wire import MachineType
-
-#: steady clocks may drift apart by this much (the protocol's bound)
-DRIFT = 0.0005
-MARGIN_S = 1.0
 ANY_AMOUNT = 1 << 60
 
 
-class Machine:
-    __slots__ = (
-        "accept", "addr", "blocked_until", "config", "doom_at", "drain", "empty_since", "error_at", "error_jobs",
-        "errors", "free", "given_at", "heard_at", "images", "index", "kind", "leaving", "name", "places", "pulls",
-        "rank", "recorded", "reserved_for", "reserved_until", "room", "seq", "session", "slots", "spot", "state",
-        "token", "used", "zone",
-    )  # fmt: skip
-
-    def __init__(self, index: int, name: str, addr: str, kind: int, zone: int, spot: bool, now: float) -> None:
-        self.index = index
-        self.name = name
-        self.addr = addr
-        self.kind = kind
-        self.zone = zone
-        self.spot = spot
-        self.room: Amounts = (0, 0, 0)
-        self.used: Amounts = (0, 0, 0)
-        self.free: Amounts = (0, 0, 0)
-        #: how many places there are of each task type
-        self.slots: dict[int, int] = {}
-        #: by the name that reports give the task
-        self.places: dict[str, Place] = {}
-        #: how many of them have been told to stop
-        self.leaving = 0
-        self.state = MachineState.NEW
-        self.recorded = False
-        self.session = 0
-        self.seq = 0
-        self.token = 0
-        self.heard_at = -math.inf
-        self.given_at = now
-        self.config: Config = ()
-        self.rank = 0
-        self.accept = False
-        self.reserved_for: str | None = None
-        self.reserved_until = -math.inf
-        self.blocked_until = -math.inf
-        self.errors = 0
-        self.error_at = -math.inf
-        self.error_jobs: set[str] = set()
-        self.drain: str | None = None
-        self.doom_at = math.inf
-        self.images: OrderedDict[int, float] = OrderedDict()
-        #: images that it fetches, or will as soon as it is told to start, and how many places wait for each
-        self.pulls: dict[int, int] = {}
-        self.empty_since = now
-
-    def slots_used(self, kind: int) -> int:
-        return self.slots.get(kind, 0)
-
-
 class Fleet:
     def __init__(self, ledger: Ledger, lease_s: float, report_s: float) -> None:
         self.ledger = ledger
@@ -197,6 +143,10 @@
                 lapsed.append(m)
         return lapsed
 
+    def counts(self, m: Machine) -> bool:
+        """Whether a machine's template counts in the plan, even if it may not be given tasks right now."""
+        return m.state in (MachineState.READY, MachineState.SUSPECT) and m.recorded and m.drain is None and any(m.room)
+
     def usable(self, m: Machine, now: float) -> bool:
         return (
             m.state is MachineState.READY
--- a/src/grebestand/ledger.py
+++ b/src/grebestand/books/ledger.py
@@ -1,235 +1,17 @@
-"""The books: jobs, their tasks, every place where a task may be, and what each team uses."""
+"""Live jobs, what their teams use, and the only functions that change the state of a job or a place."""
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 
-from .machines import JOB_STEPS, PLACE_STEPS, JobState, PlaceState, step
+from ..settings.platform import Team
+from ..states import JOB_STEPS, PLACE_STEPS, JobState, PlaceState, step
+from ..wire.jobs import JobSpec
+from .amounts import micro_down
+from .jobs import Job, Place
 from .names import Names
-from .placement import MICRO, Amounts, Slot
-from .settings import Team
-from .wire import PRIORITIES, JobSpec, Kind, MachineType, task_name
-
-
-def micro_up(amount: float) -> int:
-    return math.ceil(round(amount * MICRO, 3))
-
-
-def micro_down(amount: float) -> int:
-    return math.floor(round(amount * MICRO, 3))
-
-
-def size_of(spec: JobSpec) -> Amounts:
-    return (micro_up(spec.cpus), micro_up(spec.gpus), micro_up(spec.memory_gb))
-
-
-def room_of(kind: MachineType) -> Amounts:
-    return (micro_down(kind.cpus), micro_down(kind.gpus), micro_down(kind.memory_gb))
-
-
-class Place:
-    """One attempt of a task on one machine. It counts against every limit until it is proved gone."""
-
-    __slots__ = (
-        "attempt", "grace", "held", "index", "job", "machine", "made_at", "name", "on_at", "run_at", "seen_seq",
-        "sent_seq", "sent_session", "session", "state", "stop", "stop_sent_at", "warms",
-    )  # fmt: skip
-
-    def __init__(self, job: Job, index: int, machine: int, attempt: int, now: float) -> None:
-        self.job = job
-        self.index = index
-        #: as reports and commands name the task
-        self.name = task_name(job.spec.id, index)
-        self.machine = machine
-        self.attempt = attempt
-        self.state = PlaceState.QUEUED
-        self.session = 0
-        self.sent_session = 0
-        self.sent_seq = 0
-        #: the newest report of the session that named it
-        self.seen_seq = -1
-        self.made_at = now
-        #: not to be sent before the others of its gang have their image
-        self.held = False
-        #: its gang is broken; it stays until its machine has the image, for the next attempt
-        self.warms = False
-        self.on_at: float | None = None
-        self.run_at: float | None = None
-        self.stop: str | None = None
-        self.grace = 0.0
-        self.stop_sent_at = -math.inf
-
-
-class Job:
-    """A live job. Only tasks that have a place cost an object; the rest are bits and a cursor."""
-
-    __slots__ = (
-        "accepted_at",
-        "avoid",
-        "dirty",
-        "displaced",
-        "done",
-        "done_count",
-        "durable",
-        "earned",
-        "errors",
-        "fresh",
-        "granted",
-        "granted_hi",
-        "guaranteed",
-        "hold_until",
-        "image",
-        "places",
-        "preempt_at",
-        "rank",
-        "returned",
-        "size",
-        "spec",
-        "started_at",
-        "state",
-        "suspects",
-        "team",
-        "type",
-        "unseen_below",
-        "version",
-        "wait_since",
-        "why_waiting",
-        "zone",
-    )  # fmt: skip
-
-    def __init__(self, spec: JobSpec, version: int, accepted_at: float, team: int) -> None:
-        self.spec = spec
-        self.version = version
-        self.accepted_at = accepted_at
-        self.team = team
-        self.size = size_of(spec)
-        #: of its priority, the highest being 0
-        self.rank = PRIORITIES.index(spec.priority)
-        self.type = -1
-        self.zone = -1
-        self.image = -1
-        self.state = JobState.WAITING
-        self.done = bytearray((spec.tasks + 7) // 8)
-        self.durable = bytearray((spec.tasks + 7) // 8)
-        self.done_count = 0
-        self.dirty: dict[int, float] = {}
-        self.places: dict[int, Place] = {}
-        self.fresh = 0
-        self.returned: list[int] = []
-        self.errors = 0
-        self.earned = False
-        #: how often the whole gang was stopped to make room
-        self.displaced = 0
-        self.avoid: dict[int, float] = {}
-        self.hold_until = 0.0
-        #: durable coarse grant: machines (None: any) that tasks below granted_hi may have been started on
-        self.granted: set[int] | None = set()
-        self.granted_hi = 0
-        #: machines that may hold tasks of an earlier leader's, not yet proved; such tasks are below unseen_below
-        self.suspects: set[int] = set()
-        self.unseen_below = 0
-        self.guaranteed = False
-        self.wait_since = accepted_at
-        #: when a task of it last got a place
-        self.started_at = accepted_at
-        self.preempt_at = -math.inf
-        self.why_waiting = ""
-
-    def is_done(self, index: int) -> bool:
-        return bool(self.done[index >> 3] >> (index & 7) & 1)
-
-    def is_durable(self, index: int) -> bool:
-        return bool(self.durable[index >> 3] >> (index & 7) & 1)
-
-    @property
-    def gang(self) -> bool:
-        return self.spec.kind is Kind.GANG
-
-    @property
-    def live(self) -> bool:
-        return self.state in (JobState.WAITING, JobState.ACTIVE)
-
-    def unfinished(self) -> int:
-        return self.spec.tasks - self.done_count
-
-    def waiting(self) -> int:
-        """Tasks that are neither done nor anywhere."""
-        if not self.live:
-            return 0
-        return max(0, self.spec.tasks - self.done_count - len(self.places))
-
-    def startable(self) -> int:
-        """Waiting tasks that are provably nowhere. After a takeover only those an earlier leader may have
-        started wait for proof: the ones that were seen since, or that no grant covers, do not."""
-        if not self.suspects or not self.live:
-            return self.waiting()
-        if self.gang:
-            return 0
-        back = sum(1 for i in set(self.returned) if not self.is_done(i) and i not in self.places)
-        return back + self.spec.tasks - self.fresh
-
-    def covers(self, place: Place) -> bool:
-        """Whether the durable grant tells a later leader that this task may be on that machine."""
-        return place.index < self.granted_hi and (self.granted is None or place.machine in self.granted)
-
-    def running(self) -> int:
-        return sum(1 for p in self.places.values() if p.state is PlaceState.RUNNING)
-
-    def take(self) -> int | None:
-        """The next waiting task; the caller gives it a place at once."""
-        while self.returned:
-            index = self.returned.pop()
-            if not self.is_done(index) and index not in self.places:
-                return index
-        while self.fresh < self.spec.tasks:
-            index = self.fresh
-            self.fresh += 1
-            if not self.is_done(index) and index not in self.places:
-                return index
-        return None
-
-
-@dataclass
-class TeamUse:
-    name: str
-    guaranteed: tuple[int, int]
-    limit: tuple[int, int]
-    used: list[int] = field(default_factory=lambda: [0, 0])
-    #: what unknown tasks on machines not yet proved could use at the most
-    unknown: list[int] = field(default_factory=lambda: [0, 0])
-
-    def borrows(self) -> bool:
-        return self.used[0] > self.guaranteed[0] or self.used[1] > self.guaranteed[1]
-
-    def headroom(self, size: Amounts) -> int:
-        """How many more tasks of this size the team's limit allows, counting what may still be somewhere."""
-        rooms = []
-        for need, used, unknown, limit in zip(size[:2], self.used, self.unknown, self.limit, strict=True):
-            if need > 0:
-                rooms.append((limit - used - unknown) // need)
-        return max(0, min(rooms)) if rooms else 1 << 30
-
-
-@dataclass
-class TaskType:
-    """A slot type: jobs of one priority whose tasks ask for about the same."""
-
-    key: tuple[object, ...]
-    rank: int
-    size: Amounts
-    spot: bool
-    machine_types: frozenset[int] | None
-    zone: int | None
-    seen_at: float
-
-    def slot(self, payoff: float) -> Slot:
-        return Slot(self.size, payoff, self.spot, self.machine_types, self.zone)
-
-
-def _bucket(amount: int, steps_per_octave: float) -> int:
-    return -1 if amount <= 0 else math.ceil(math.log2(amount) * steps_per_octave - 1e-9)
+from .task_types import TaskType, _bucket
+from .teams import TeamUse
 
 
 class Ledger:
@@ -251,6 +33,8 @@
         #: gigabytes of each image
         self.image_gb: list[float] = []
         self.jobs: dict[str, Job] = {}
+        #: jobs all of whose tasks are done, until their final record is committed
+        self.closing: dict[str, Job] = {}
         self.types: list[TaskType] = []
         self._type_index: dict[tuple[object, ...], int] = {}
         self.type_bound = 24
@@ -315,6 +99,8 @@
         job.state = new
         if new is JobState.WAITING:
             job.wait_since = now
+        elif new is JobState.CLOSING:
+            self.closing[job.spec.id] = job
         self.changed = True
 
     def drop_if_settled(self, job: Job) -> bool:
--- /dev/null
+++ b/src/grebestand/books/machine.py
@@ -0,0 +1,62 @@
+"""One machine: what it is, holds and may hold."""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+
+from ..states import MachineState
+from .amounts import Amounts
+from .jobs import Place
+from .slots import Config
+
+
+class Machine:
+    __slots__ = (
+        "accept", "addr", "blocked_until", "config", "doom_at", "drain", "empty_since", "error_at", "error_jobs",
+        "errors", "free", "given_at", "heard_at", "images", "index", "kind", "leaving", "name", "places", "pulls",
+        "rank", "recorded", "reserved_for", "reserved_until", "room", "seq", "session", "slots", "spot", "state",
+        "token", "used", "zone",
+    )  # fmt: skip
+
+    def __init__(self, index: int, name: str, addr: str, kind: int, zone: int, spot: bool, now: float) -> None:
+        self.index = index
+        self.name = name
+        self.addr = addr
+        self.kind = kind
+        self.zone = zone
+        self.spot = spot
+        self.room: Amounts = (0, 0, 0)
+        self.used: Amounts = (0, 0, 0)
+        self.free: Amounts = (0, 0, 0)
+        #: how many places there are of each task type
+        self.slots: dict[int, int] = {}
+        #: by the name that reports give the task
+        self.places: dict[str, Place] = {}
+        #: how many of them have been told to stop
+        self.leaving = 0
+        self.state = MachineState.NEW
+        self.recorded = False
+        self.session = 0
+        self.seq = 0
+        self.token = 0
+        self.heard_at = -math.inf
+        self.given_at = now
+        self.config: Config = ()
+        self.rank = 0
+        self.accept = False
+        self.reserved_for: str | None = None
+        self.reserved_until = -math.inf
+        self.blocked_until = -math.inf
+        self.errors = 0
+        self.error_at = -math.inf
+        self.error_jobs: set[str] = set()
+        self.drain: str | None = None
+        self.doom_at = math.inf
+        self.images: OrderedDict[int, float] = OrderedDict()
+        #: images that it fetches, or will as soon as it is told to start, and how many places wait for each
+        self.pulls: dict[int, int] = {}
+        self.empty_since = now
+
+    def slots_used(self, kind: int) -> int:
+        return self.slots.get(kind, 0)
--- a/src/grebestand/cli.py
+++ b/src/grebestand/cli.py
@@ -7,8 +7,15 @@
 import logging
 import os
 import sys
+from typing import TYPE_CHECKING
 
-from . import __version__, policy, settings
+from . import __version__
+from .settings import platform, policy
+from .settings.expressions import ExpressionError
+from .settings.platform import Settings, SettingsError
+
+if TYPE_CHECKING:
+    from .features.hooks import Features
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
@@ -24,25 +31,36 @@
         logging.getLogger("grebestand").error("LOG_LEVEL %r is not one of %s; info is used", name, ", ".join(LEVELS))
 
 
-def _serve(config: str, policy_file: str | None) -> int:
+def _load_features(files: list[str], listed: str | None, loaded: Settings) -> Features:
+    from .features import registry
+
+    return registry.load([*(registry.listed(listed) if listed else []), *files], loaded)
+
+
+def _serve(arguments: argparse.Namespace) -> int:
     try:
-        loaded = settings.load(config)
-    except settings.SettingsError as e:
+        loaded = platform.load(arguments.config)
+    except SettingsError as e:
         print(f"grebestand: settings: {e}", file=sys.stderr)
         return 2
     try:
-        rules = policy.load(policy_file)
-    except policy.PolicyError as e:
+        rules = policy.load(arguments.policy)
+    except ExpressionError as e:
         print(f"grebestand: policy: {e.faults[0]}", file=sys.stderr)
         return 2
     # all addresses are numbers: the resolver's threads would cost memory and serve nobody
     os.environ.setdefault("GEVENT_RESOLVER", "block")
-    from .controller import Controller
+    try:
+        features = _load_features(arguments.features, arguments.listed, loaded)
+    except ExpressionError as e:
+        print(f"grebestand: feature: {e.faults[0]}", file=sys.stderr)
+        return 2
+    from .process.controller import Controller
 
     # what the imports made stays for good; full collections need not go over it each time
     gc.freeze()
     try:
-        Controller(loaded, rules).serve()
+        Controller(loaded, rules, features).serve()
     except KeyboardInterrupt:
         return 130
     except OSError as e:
@@ -56,7 +74,7 @@
     for file in files:
         try:
             policy.load(file)
-        except policy.PolicyError as e:
+        except ExpressionError as e:
             for fault in e.faults:
                 print(fault, file=sys.stderr)
             bad += 1
@@ -77,10 +95,15 @@
         "--policy", metavar="FILE", default=os.environ.get("GREBESTAND_POLICY"),
         help="the operators' own settings; also GREBESTAND_POLICY (default: the shipped policy)",
     )  # fmt: skip
+    serve.add_argument(
+        "--with", metavar="FILE", action="append", default=[], dest="features",
+        help="switch on the feature that this file names and sets up; may be given several times",
+    )  # fmt: skip
+    serve.add_argument("--with-list", metavar="FILE", dest="listed", help="the same for all files that this file lists")
     check = commands.add_parser("check-policy", help="check policy files and name each fault")
     check.add_argument("files", nargs="+", metavar="FILE")
     arguments = parser.parse_args(argv)
     _configure_logging()
     if arguments.command == "serve":
-        return _serve(arguments.config, arguments.policy)
+        return _serve(arguments)
     return _check(arguments.files)
--- /dev/null
+++ b/src/grebestand/decisions/aims.py
@@ -0,0 +1,61 @@
+"""The order of service: guarantees, priorities, and who can still make an aim."""
+
+from __future__ import annotations
+
+from ..books.jobs import Job, Place
+from ..books.learned import RunTimes
+from ..settings.platform import Objective
+
+AGED_S = 180.0
+#: a stopped task starts again about so much later at the earliest: saving, a report, an image, its turn
+TIGHT_S = 30.0
+
+
+class Aims:
+    def __init__(self, objectives: list[Objective], run_times: RunTimes) -> None:
+        self.run_times = run_times
+        self.within: dict[str, list[float]] = {}
+        self.start_within: dict[str, list[float]] = {}
+        self.deadline_times: dict[str, list[float]] = {}
+        for o in objectives:
+            if o.klass and o.kind == "deadline":
+                self.deadline_times.setdefault(o.klass, []).append(o.times or 1.0)
+            if o.klass and o.within_s and o.kind in ("finished", "wait"):
+                table = self.within if o.kind == "finished" else self.start_within
+                table.setdefault(o.klass, []).append(o.within_s)
+
+    def ends(self, job: Job) -> list[float]:
+        """When the job has to be done for its aims."""
+        ends = [job.accepted_at + w for w in self.within.get(job.spec.klass, ())]
+        if job.spec.deadline_s is not None:
+            times = self.deadline_times.get(job.spec.klass) or [1.0]
+            ends += [job.accepted_at + t * job.spec.deadline_s for t in times]
+        return ends
+
+    def urgency(self, job: Job, now: float) -> tuple[object, ...]:
+        """Order of service: guarantees, then priority, then who can still make an aim, least work first.
+
+        When there is not room for all, serving the least work first lets the most jobs make it. A job too late
+        for every aim comes behind those, but it ages: after a while it comes before them all.
+        """
+        spec = job.spec
+        rest = self.run_times.run_s(job)
+        limits = [end - rest for end in self.ends(job)]
+        limits += [job.accepted_at + w for w in self.start_within.get(spec.klass, ())]
+        work = job.unfinished() * job.size[0] * max(rest, 1.0)
+        last = max(limits) if limits else job.accepted_at
+        if now > last + AGED_S:
+            group, value = 0, job.accepted_at
+        elif not limits or now <= last:
+            group, value = 1, work
+        else:
+            group, value = 2, job.accepted_at
+        return (not job.guaranteed, job.rank, group, value, job.accepted_at)
+
+    def tight(self, victim: Place, now: float) -> bool:
+        """Whether a task that can still make an aim of its job would miss it if it were stopped."""
+        job = victim.job
+        rest = self.run_times.run_s(job)
+        if job.spec.checkpoint_s > 0 and victim.run_at is not None:
+            rest = max(0.0, rest - (now - victim.run_at))
+        return any(0 <= end - now - rest < TIGHT_S for end in self.ends(job))
--- a/src/grebestand/placement.py
+++ b/src/grebestand/decisions/greedy.py
@@ -1,53 +1,14 @@
 """Greedy templates: the paper's GPA and CRA, over one or several pools of machines.
 
-Everything here is pure: amounts in, plans out. Amounts are integers (millionths of a CPU, of a card, of a
-gigabyte), so that adding and removing tasks never drifts.
+Everything here is pure: amounts in, plans out.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
-Amounts = tuple[int, int, int]
-Config = tuple[int, ...]
-
-MICRO = 1_000_000
-
-
-def fits(need: Amounts, room: Amounts) -> bool:
-    return need[0] <= room[0] and need[1] <= room[1] and need[2] <= room[2]
-
-
-def minus(a: Amounts, b: Amounts) -> Amounts:
-    return (a[0] - b[0], a[1] - b[1], a[2] - b[2])
-
-
-def plus(a: Amounts, b: Amounts) -> Amounts:
-    return (a[0] + b[0], a[1] + b[1], a[2] + b[2])
-
-
-def how_many(need: Amounts, room: Amounts) -> int:
-    """How many tasks of this size fit into the room."""
-    count = -1
-    for n, r in zip(need, room, strict=True):
-        if n > 0:
-            some = r // n
-            if some <= 0:
-                return 0
-            if count < 0 or some < count:
-                count = some
-    return max(0, count)
-
-
-@dataclass(frozen=True)
-class Slot:
-    """What the algorithm knows of a task type."""
-
-    size: Amounts
-    payoff: float
-    spot: bool = True
-    machine_types: frozenset[int] | None = None
-    zone: int | None = None
+from ..books.amounts import Amounts, fits, how_many, minus, share, times
+from ..books.slots import Config, Slot
 
 
 @dataclass(frozen=True)
@@ -68,11 +29,6 @@
         )
 
 
-def share(size: Amounts, room: Amounts) -> float:
-    """The largest part of a machine that one task takes of any resource."""
-    return max((s / r for s, r in zip(size, room, strict=True) if s > 0 and r > 0), default=0.0)
-
-
 def max_reward(slots: list[Slot], candidates: list[int], room: Amounts) -> Config:
     """A configuration of high reward made of candidate types only (Definition 2.3, approximated).
 
@@ -90,8 +46,7 @@
             n = how_many(slots[j].size, left)
             if n:
                 counts[j] += n
-                size = slots[j].size
-                left = (left[0] - n * size[0], left[1] - n * size[1], left[2] - n * size[2])
+                left = minus(left, times(slots[j].size, n))
         reward = sum(n * slots[j].payoff for j, n in enumerate(counts))
         config = tuple(counts)
         if reward > best_reward + 1e-9 or (abs(reward - best_reward) <= 1e-9 and config > best):
--- /dev/null
+++ b/src/grebestand/decisions/scheduler.py
@@ -0,0 +1,78 @@
+"""What runs where: targets and templates each period, a full pass over all that waits, and a report's own room."""
+
+from __future__ import annotations
+
+import math
+
+from ..books.machine import Machine
+from ..settings.platform import Objective
+from .aims import Aims
+from .clearing import Clearing
+from .explain import Explanation
+from .gangs import Gangs
+from .images import Images
+from .migration import Migration
+from .placing import Placing
+from .renting import Renting
+from .targets import Targets
+from .view import View
+
+
+class Scheduler:
+    def __init__(self, view: View, objectives: list[Objective], gang_wait_s: float) -> None:
+        self.view = view
+        self.ledger = view.ledger
+        self.fleet = view.fleet
+        self.retargeted_at = -math.inf
+        self.aims = Aims(objectives, view.run_times)
+        self.images = Images(view)
+        self.clearing = Clearing(view, self.aims)
+        self.placing = Placing(view, self.images, self.clearing)
+        self.gangs = Gangs(view, self.images, self.clearing, self.placing, gang_wait_s)
+        self.renting = Renting(view)
+        self.targets = Targets(view, self.renting)
+        self.migration = Migration(view, self.images)
+        self.explanation = Explanation(view)
+
+    def retarget(self, now: float, spare: bool = True) -> None:
+        """Targets and templates, and with time to spare migration."""
+        self.retargeted_at = now
+        self.view.knobs = self.view.knobs_of()
+        self.targets.set(now)
+        self.images.measure()
+        if spare and self.view.knobs.migrate:
+            self.migration.migrate(now)
+        self.explanation.tell(now)
+
+    def fill(self, m: Machine, now: float) -> None:
+        """Fills the room of one machine that has just reported."""
+        self.placing.fill(m, now)
+
+    def place(self, now: float) -> None:
+        """A full pass: every job that waits, over every machine."""
+        waiting = [j for j in self.ledger.waiting_jobs() if now >= j.hold_until and j.startable() > 0]
+        if not waiting:
+            self.placing.queue = []
+            return
+        self.ledger.rate_guarantees()
+        waiting.sort(key=lambda j: self.aims.urgency(j, now))
+        for part in (self.clearing, self.placing, self.gangs):
+            part.begin()
+        reserved: set[str] = set()
+        for m in self.fleet.machines:
+            if m.reserved_for is not None:
+                reserved.add(m.reserved_for)
+                job = self.ledger.jobs.get(m.reserved_for)
+                if now >= m.reserved_until or job is None or not job.live or job.waiting() == 0:
+                    m.reserved_for = None
+        ready = [m for m in self.fleet.machines if self.fleet.usable(m, now)]
+        for job in waiting:
+            veto = self.view.features.veto(job, now)
+            if veto is not None:
+                job.why_waiting = veto
+                continue
+            if job.gang:
+                self.gangs.place(job, ready, now, job.spec.id in reserved)
+            else:
+                self.placing.place(job, ready, now, job.spec.id in reserved)
+        self.placing.queue = [j for j in waiting if not j.gang and j.waiting() > 0]
--- /dev/null
+++ b/src/grebestand/decisions/targets.py
@@ -0,0 +1,115 @@
+"""Targets, the greedy plan, ranks and groups; templates change only where nothing has to be stopped for it."""
+
+from __future__ import annotations
+
+from ..books.amounts import Amounts, share
+from ..books.machine import Machine
+from ..books.slots import Config, Slot
+from .greedy import Pool, Seat, Wanted, cra, gpa
+from .renting import Renting
+from .view import Decision, View
+
+TYPE_MEMORY_S = 60.0
+
+
+class Targets(Decision):
+    def __init__(self, view: View, renting: Renting) -> None:
+        super().__init__(view)
+        self.renting = renting
+
+    def _targets(self, now: float) -> tuple[list[int], list[Slot], list[float], list[float]]:
+        """Active types, their slots, targets (running + waiting + g) and the bare need without g."""
+        counts: dict[int, float] = {}
+        for job in self.ledger.jobs.values():
+            if not job.live:
+                continue
+            self.ledger.types[job.type].seen_at = now
+            team = self.ledger.teams[job.team]
+            # what a team's limit keeps from running is no reason to reserve room
+            waiting = min(job.waiting(), team.headroom(job.size))
+            counts[job.type] = counts.get(job.type, 0) + len(job.places) + waiting
+        kinds = [i for i, t in enumerate(self.ledger.types) if i in counts or now - t.seen_at < TYPE_MEMORY_S]
+        kinds.sort(key=lambda i: (self.ledger.types[i].rank, i))
+        room = self._typical_room()
+        slots = []
+        for i in kinds:
+            t = self.ledger.types[i]
+            payoff = self.knobs.payoffs[t.rank]
+            slots.append(t.slot(payoff * max(share(t.size, room), 1e-6)))
+        need = [counts.get(i, 0.0) for i in kinds]
+        return kinds, slots, [n + self.knobs.g for n in need], need
+
+    def _typical_room(self) -> Amounts:
+        rooms = [m.room for m in self.fleet.machines if m.room != (0, 0, 0)]
+        return max(rooms) if rooms else (1_000_000, 1_000_000, 1_000_000)
+
+    def set(self, now: float) -> None:
+        """Targets, greedy plan, ranks and groups; templates change only where nothing has to be stopped for it."""
+        kinds, slots, targets, need = self._targets(now)
+        members = [m for m in self.fleet.machines if self.fleet.counts(m)]
+        zoned = any(s.zone is not None for s in slots)
+        pools: list[Pool] = []
+        pool_index: dict[Pool, int] = {}
+        seats: list[Seat] = []
+        width = len(self.ledger.types)
+        for m in members:
+            pool = Pool(m.kind, m.zone if zoned else -1, m.spot, m.room)
+            p = pool_index.setdefault(pool, len(pools))
+            if p == len(pools):
+                pools.append(pool)
+            if not m.config:
+                # the paper's initialisation: an unconfigured machine's template is what it holds
+                m.config = self._holdings(m, width)
+            config = tuple(m.config[k] if k < len(m.config) else 0 for k in kinds)
+            empty = not m.places and m.reserved_for is None
+            holds: Config = ()
+            if m.places and m.reserved_for is None:
+                all_held = self._holdings(m, width)
+                held = tuple(all_held[k] for k in kinds)
+                holds = held if sum(held) == sum(all_held) else ()
+            seats.append(Seat(p, config, empty, holds, tag=m.index))
+        seats.sort(key=lambda s: (s.empty, s.tag))
+        sizes = [sum(1 for s in seats if s.pool == p) for p in range(len(pools))]
+        plan = self._plan(slots, need, targets, pools, sizes)
+        cra(seats, plan)
+        by_index = {m.index: m for m in members}
+        for seat in seats:
+            m = by_index[seat.tag]
+            m.rank, m.accept = seat.rank, seat.accept
+            if seat.changed:
+                wide = [0] * width
+                for j, k in enumerate(kinds):
+                    wide[k] = seat.config[j]
+                m.config = tuple(wide)
+        self.renting.measure(slots, need, targets, pools, sizes, zoned)
+
+    @staticmethod
+    def _plan(
+        slots: list[Slot], need: list[float], targets: list[float], pools: list[Pool], sizes: list[int]
+    ) -> list[Wanted]:
+        """The greedy plan for what runs and waits, then spare slots from the machines that are left.
+
+        The paper adds g to every type before it shares out machines. With g in the first round a type that
+        came first held every machine as spares while another of the same payoff waited for ever.
+        """
+        plan = gpa(slots, need, pools, sizes)
+        left = list(sizes)
+        given = [0] * len(slots)
+        for w in plan:
+            left[w.pool] -= w.count
+            for j, n in enumerate(w.config):
+                given[j] += n * w.count
+        spare = [max(0.0, t - n) for t, n in zip(targets, given, strict=True)]
+        for w in gpa(slots, spare, pools, left):
+            same = next((x for x in plan if x.pool == w.pool and x.config == w.config), None)
+            if same is not None:
+                same.count += w.count
+            else:
+                plan.append(w)
+        return plan
+
+    def _holdings(self, m: Machine, width: int) -> Config:
+        wide = [0] * width
+        for kind, count in m.slots.items():
+            wide[kind] = count
+        return tuple(wide)
--- /dev/null
+++ b/src/grebestand/doors/answer.py
@@ -0,0 +1,13 @@
+"""What a door answers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass
+class Answer:
+    status: int
+    body: bytes = b""
+    retry_after: int | None = None
+    allow: str | None = None
--- /dev/null
+++ b/src/grebestand/doors/peers.py
@@ -0,0 +1,97 @@
+"""The other controllers' interface: greetings, cached images, resignations, and what features tell each other."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from ..features.hooks import Features
+from ..outside.peer import Peer
+from ..wire.peers import CachedImages, Hello, Resigned
+
+#: how often the leader tells the others which images the machines have
+IMAGES_S = 5.0
+
+
+class PeerDoor:
+    """What this controller knows of the others, tells them, and answers them."""
+
+    def __init__(
+        self,
+        peers: list[Peer],
+        clock: Callable[[], float],
+        hello: Callable[[], Hello],
+        resigned: Callable[[Resigned], None],
+        features: Features,
+    ) -> None:
+        self.peers = peers
+        self.clock = clock
+        self.hello = hello
+        self.resigned = resigned
+        self.features = features
+        #: done and running tasks of each job, as the leader last told
+        self.leader_counts: dict[str, tuple[int, int]] = {}
+        #: as the leader last told
+        self.cached_images = CachedImages()
+
+    def _take_hello(self, hello: Hello) -> None:
+        if hello.token:
+            self.leader_counts = hello.counts
+
+    def greet(self, peer: Peer) -> None:
+        answer = peer.tell("/hello", self.hello(), Hello)
+        if answer is not None:
+            # answers only: they are as old as the request allows, while a message may have been held for minutes
+            peer.heard_at, peer.last = self.clock(), answer
+            self._take_hello(answer)
+
+    def known_images(self) -> CachedImages:
+        """From memory, or, after a restart, from whoever was told."""
+        if not self.cached_images.machines:
+            for peer in self.peers:
+                known = peer.tell("/images", CachedImages(), CachedImages, timeout=0.3)
+                if known is not None and known.machines:
+                    return known
+        return self.cached_images
+
+    def tell_images(self, images: CachedImages) -> None:
+        self.cached_images = images
+        for peer in self.peers:
+            peer.tell("/images", images, CachedImages)
+
+    def tell_resigned(self, name: str, token: int) -> None:
+        for peer in self.peers:
+            peer.tell("/resigned", Resigned(name, token), Hello)
+
+    def answer(self, path: str, body: bytes) -> bytes | None:
+        """The answer to a message, or None if there is no such path."""
+        if path == "/hello":
+            self._take_hello(msgspec.msgpack.decode(body, type=Hello))
+        elif path == "/images":
+            told = msgspec.msgpack.decode(body, type=CachedImages)
+            if told.machines:
+                self.cached_images, told = told, CachedImages()
+            else:
+                told = self.cached_images
+            return msgspec.msgpack.encode(told)
+        elif path == "/resigned":
+            self.resigned(msgspec.msgpack.decode(body, type=Resigned))
+        elif path in self.features.messages:
+            return self.features.messages[path](body)
+        else:
+            return None
+        return msgspec.msgpack.encode(self.hello())
+
+    def app(self, environ: dict[str, Any], start: Callable[..., Any]) -> list[bytes]:
+        try:
+            answer = self.answer(environ.get("PATH_INFO", ""), environ["wsgi.input"].read(1 << 22))
+        except (msgspec.DecodeError, OSError):
+            start("400 Bad Request", [])
+            return [b""]
+        if answer is None:
+            start("404 Not Found", [])
+            return [b""]
+        start("200 OK", [("Content-Type", "application/msgpack")])
+        return [answer]
--- /dev/null
+++ b/src/grebestand/doors/server.py
@@ -0,0 +1,109 @@
+"""The HTTP server: `gevent.pywsgi`, with a limit on how long a request may take to come in."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any, ClassVar
+
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIHandler, WSGIServer, headers_factory
+
+from ..settings.platform import parse_address
+from ..wire.jobs import MAX_BODY
+from .answer import Answer
+
+log = logging.getLogger("grebestand.http")
+
+REASONS = {
+    200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+    421: "Misdirected Request", 422: "Unprocessable Entity", 429: "Too Many Requests", 503: "Service Unavailable",
+}  # fmt: skip
+#: blocks of headers up to this size are remembered, and so many of them
+BLOCK_BYTES, BLOCKS = 1024, 256
+#: what `http.client` reads of a line of headers
+LINE_BYTES = 65537
+
+
+class _Replay:
+    """Lines that were read already, and then the rest of what comes."""
+
+    def __init__(self, lines: list[bytes], rest: Any) -> None:
+        self._lines = iter(lines)
+        self._rest = rest
+
+    def readline(self, limit: int = LINE_BYTES) -> bytes:
+        line = next(self._lines, None)
+        return self._rest.readline(limit) if line is None else line
+
+
+class _Handler(WSGIHandler):  # type: ignore[misc]
+    """A connection that sends no complete request for long is closed: it would hold a socket for ever."""
+
+    #: workers and users send the same few blocks again and again; parsing one took half the time of a request
+    _parsed: ClassVar[dict[bytes, Any]] = {}
+
+    def MessageClass(self, rfile: Any, *_: Any) -> Any:
+        lines = []
+        size = 0
+        while size <= BLOCK_BYTES:
+            lines.append(rfile.readline(LINE_BYTES))
+            size += len(lines[-1])
+            if lines[-1] in (b"\r\n", b"\n", b""):
+                break
+        else:
+            return headers_factory(_Replay(lines, rfile))
+        block = b"".join(lines)
+        found = self._parsed.get(block)
+        if found is None:
+            found = headers_factory(_Replay(lines, rfile))
+            if len(self._parsed) >= BLOCKS:
+                self._parsed.pop(next(iter(self._parsed)))
+            self._parsed[block] = found
+        return found
+
+    def read_requestline(self) -> Any:
+        self.socket.settimeout(120.0)
+        line = super().read_requestline()
+        self.socket.settimeout(10.0)
+        return line
+
+    def log_request(self) -> None:
+        return
+
+
+class _Quiet:
+    def write(self, text: str) -> None:
+        if text.strip():
+            log.debug("http: %s", text.strip()[:300])
+
+    def flush(self) -> None:
+        return
+
+
+App = Callable[[dict[str, Any], Callable[..., Any]], list[bytes]]
+
+
+def listen(address: str, field: str, app: App, most: int) -> WSGIServer:
+    """A server for so many connections at a time; `field` names the address in an error."""
+    return WSGIServer(
+        parse_address(address, field), app, spawn=Pool(most), log=None, error_log=_Quiet(), handler_class=_Handler
+    )
+
+
+def read_body(environ: dict[str, Any]) -> bytes:
+    """The body, or one byte more than is allowed if it is larger."""
+    length = environ.get("CONTENT_LENGTH")
+    if length and (not length.isdigit() or int(length) > MAX_BODY):
+        return b"x" * (MAX_BODY + 1)
+    return bytes(environ["wsgi.input"].read(MAX_BODY + 1))
+
+
+def respond(answer: Answer, start: Callable[..., Any]) -> list[bytes]:
+    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(answer.body)))]
+    if answer.retry_after is not None:
+        headers.append(("Retry-After", str(answer.retry_after)))
+    if answer.allow is not None:
+        headers.append(("Allow", answer.allow))
+    start(f"{answer.status} {REASONS[answer.status]}", headers)
+    return [answer.body]
--- a/src/grebestand/api.py
+++ b/src/grebestand/doors/users.py
@@ -3,79 +3,47 @@
 from __future__ import annotations
 
 import logging
-from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import msgspec
 
-from .budget import Urgency
-from .ledger import room_of, size_of
-from .placement import fits
-from .settings import Team
-from .state import StateClient, StateError, absent, at, delete, put
-from .wire import (
-    JOB_ID,
-    MAX_BODY,
-    JobAnswer,
-    JobSpec,
-    JobView,
-    Kind,
-    MachineType,
-    Malformed,
-    decode_spec,
-    peek_id,
-)
+from ..books.amounts import fits, room_of, size_of
+from ..features.hooks import Features, Refusal
+from ..limits.budget import Urgency
+from ..outside.state import StateClient, StateError, absent, at, delete, put
+from ..records.finals import Finals
+from ..records.jobs import LiveRecord, OverRecord, live_key, over_key
+from ..settings.platform import Team
+from ..wire.cloud import MachineType
+from ..wire.jobs import JOB_ID, MAX_BODY, JobAnswer, JobSpec, JobView, Kind, Malformed, decode_spec, peek_id
+from .answer import Answer
 
-log = logging.getLogger("grebestand.api")
+log = logging.getLogger("grebestand.users")
 
 _json = msgspec.json.Encoder()
-TERMINAL_KEPT = 5000
-
-
-class LiveRecord(msgspec.Struct):
-    """The durable record of an accepted job."""
-
-    spec: JobSpec
-    at: float
-
-
-class OverRecord(msgspec.Struct):
-    """What stays of a job when it is over."""
-
-    state: JobView
-    tasks: int
 
 
 class CannotRun(ValueError):
     """Well-formed, but it can never run: status 422."""
 
 
-class NotYet(Exception):
-    """Cannot be decided now: status 503."""
+class Refused(Exception):
+    """A feature does not let it in."""
 
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.text)
+        self.refusal = refusal
 
-@dataclass
-class Answer:
-    status: int
-    body: bytes = b""
-    retry_after: int | None = None
-    allow: str | None = None
 
-
-def live_key(ident: str) -> str:
-    return f"live/{ident}"
-
-
-def over_key(ident: str) -> str:
-    return f"over/{ident}"
+class NotYet(Exception):
+    """Cannot be decided now: status 503."""
 
 
 def _error(status: int, text: str, retry_after: int | None = None) -> Answer:
     return Answer(status, _json.encode({"error": text}), retry_after)
 
 
-class Api:
+class UserDoor:
     def __init__(
         self,
         state: StateClient,
@@ -86,6 +54,8 @@
         clock: Callable[[], float],
         machine_types: Callable[[], list[MachineType] | None],
         counts: Callable[[str], tuple[int, int]],
+        finals: Finals,
+        features: Features,
     ) -> None:
         self.state = state
         self.teams = {t.name: t for t in teams}
@@ -95,25 +65,20 @@
         self.clock = clock
         self.machine_types = machine_types
         self.counts = counts
-        self._over: OrderedDict[str, OverRecord] = OrderedDict()
+        self.finals = finals
+        self.features = features
 
     # shared -----------------------------------------------------------------------------------------------
 
-    def remember(self, ident: str, record: OverRecord) -> None:
-        """Final states never change, so they may be answered from here."""
-        self._over[ident] = record
-        if len(self._over) > TERMINAL_KEPT:
-            self._over.popitem(last=False)
-
     def _final(self, ident: str, urgency: Urgency) -> OverRecord | None:
-        known = self._over.get(ident)
+        known = self.finals.get(ident)
         if known is not None:
             return known
         found = self.state.get(over_key(ident), urgency)
         if found is None:
             return None
         record = msgspec.convert(found.value, OverRecord)
-        self.remember(ident, record)
+        self.finals.remember(ident, record)
         return record
 
     def _lookup(self, ident: str, urgency: Urgency) -> tuple[JobView, int, int, int] | None:
@@ -121,7 +86,7 @@
 
         The live record is read first: a job on its way out is then found in one of the two places.
         """
-        known = self._over.get(ident)
+        known = self.finals.get(ident)
         if known is None:
             found = self.state.get(live_key(ident), urgency)
             if found is not None:
@@ -152,11 +117,16 @@
                 if len(record) > self.value_bytes:
                     raise Malformed("the job's description is too large to be kept")
                 self.check_can_run(spec)
-            except (Malformed, CannotRun) as e:
+                refusal = self.features.refusal(spec)
+                if refusal is not None:
+                    raise Refused(refusal)
+            except (Malformed, CannotRun, Refused) as e:
                 # a repeat of an accepted job is known by its id, whatever else the body says
                 known = self._lookup(ident, Urgency.ACCEPT)
                 if known is not None:
                     return self._view(200, ident, *known[:3])
+                if isinstance(e, Refused):
+                    return _error(e.refusal.status, str(e), e.refusal.retry_after)
                 return _error(422 if isinstance(e, CannotRun) else 400, str(e))
             return self._accept(ident, spec, record)
         except NotYet as e:
@@ -166,8 +136,8 @@
             return _error(503, "the state service cannot be reached", 1)
 
     def _accept(self, ident: str, spec: JobSpec, record: bytes) -> Answer:
-        if ident in self._over:
-            known = self._over[ident]
+        known = self.finals.get(ident)
+        if known is not None:
             return self._view(200, ident, known.state, 0, 0)
         end = self.clock() + 3.0
         value = msgspec.Raw(record)
@@ -187,10 +157,10 @@
             if not failed:
                 log.info("accepted %s: %s of %d tasks for %s", ident, spec.kind.name.lower(), spec.tasks, spec.team)
                 return self._view(201, ident, JobView.PENDING, 0, 0)
-            known2 = self._lookup(ident, Urgency.ACCEPT)
-            if known2 is None:
+            found = self._lookup(ident, Urgency.ACCEPT)
+            if found is None:
                 raise StateError("the job's record moved while it was read", maybe=True)
-            return self._view(200, ident, *known2[:3])
+            return self._view(200, ident, *found[:3])
 
     def check_can_run(self, spec: JobSpec) -> None:
         team = self.teams.get(spec.team)
@@ -248,7 +218,7 @@
                         raise
                     continue
                 if not failed:
-                    self.remember(ident, record)
+                    self.finals.remember(ident, record)
                     log.info("cancelled %s", ident)
                     return Answer(200, _json.encode(JobAnswer(ident, JobView.CANCELLED)))
                 if self.clock() > end:
--- /dev/null
+++ b/src/grebestand/features/hooks.py
@@ -0,0 +1,96 @@
+"""The table of hooks. A feature fills in those it needs; the core calls them and knows nothing else of it.
+
+| hook | called by | when | may |
+| --- | --- | --- | --- |
+| `accept` | the users' door, on any controller | for a new, well-formed submission that could run | refuse it |
+| `place` | the leader's passes and fillings | before a job's waiting tasks get places | say why the job has to wait |
+| `close` | the leader, in the transaction that closes a job | once for each job that is done | add changes to it |
+| `records` | a new leader, before it starts anything | while it reads its records | read its own, keep the pages |
+| `messages` | the peers' door, on any controller | another controller sends that path | answer |
+| `listeners` | the process, at start | once | serve an address of its own |
+| `steps` | the leader, over and over with a pause | while its term lasts | act |
+
+What a hook may not do: start or stop a task other than through the books, write without the leader's pen, or block
+an `accept`, `place` or `close`. An exception in a hook is
+logged by the loop that called it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..books.jobs import Job
+from ..records.jobs import OverRecord
+from ..records.pages import Pages
+from ..wire.jobs import JobSpec
+from ..wire.store import Change
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """Why a submission is not taken: 422 for good, 429 or 503 with a time to come back, in seconds."""
+
+    status: int
+    text: str
+    retry_after: int | None = None
+
+
+@dataclass(frozen=True)
+class Records:
+    """A feature's records under a prefix of its own; `load` gets the pages and what stands on them."""
+
+    prefix: str
+    load: Callable[[Pages, dict[str, Any]], None]
+
+
+@dataclass(frozen=True)
+class Listener:
+    """An address of its own: `field` names it in errors, `connections` bounds what is served at a time."""
+
+    address: str
+    field: str
+    app: Callable[[dict[str, Any], Callable[..., Any]], list[bytes]]
+    connections: int = 40
+
+
+@dataclass
+class Features:
+    """All hooks of all features that are on; empty lists cost the core nothing."""
+
+    names: list[str] = field(default_factory=list)
+    accept: list[Callable[[JobSpec], Refusal | None]] = field(default_factory=list)
+    place: list[Callable[[Job, float], str | None]] = field(default_factory=list)
+    close: list[Callable[[Job, OverRecord], list[Change]]] = field(default_factory=list)
+    records: list[Records] = field(default_factory=list)
+    messages: dict[str, Callable[[bytes], bytes]] = field(default_factory=dict)
+    listeners: list[Listener] = field(default_factory=list)
+    steps: list[tuple[Callable[[], None], float]] = field(default_factory=list)
+
+    def add(self, other: Features) -> None:
+        """Takes in another feature's hooks; two may not claim the same name, prefix or path."""
+        for mine, theirs, what in (
+            (self.names, other.names, "feature"),
+            ([r.prefix for r in self.records], [r.prefix for r in other.records], "record prefix"),
+            (list(self.messages), list(other.messages), "message path"),
+        ):
+            twice = set(mine) & set(theirs)
+            if twice:
+                raise ValueError(f"{what} {min(twice)!r} is claimed twice")
+        self.names += other.names
+        self.accept += other.accept
+        self.place += other.place
+        self.close += other.close
+        self.records += other.records
+        self.messages.update(other.messages)
+        self.listeners += other.listeners
+        self.steps += other.steps
+
+    def refusal(self, spec: JobSpec) -> Refusal | None:
+        """The first refusal of a submission, if there is one."""
+        return next((r for hook in self.accept if (r := hook(spec)) is not None), None)
+
+    def veto(self, job: Job, now: float) -> str | None:
+        """Why a job may not get places now, if some feature says so."""
+        return next((why for hook in self.place if (why := hook(job, now)) is not None), None)
--- /dev/null
+++ b/src/grebestand/leading/gossip.py
@@ -0,0 +1,43 @@
+"""What a leader tells the other controllers for display and for its successor: counts of jobs, images of machines."""
+
+from __future__ import annotations
+
+import math
+
+from ..wire.peers import CachedImages
+from .basis import Basis, Part
+
+
+class Gossip(Part):
+    def __init__(self, basis: Basis) -> None:
+        super().__init__(basis)
+        self._counted: dict[str, tuple[int, int]] = {}
+        self._counted_at = -math.inf
+
+    def counts(self) -> dict[str, tuple[int, int]]:
+        """Done and running tasks of each job, for all controllers' users; a second old at the most."""
+        now = self.clock()
+        if now - self._counted_at >= 1.0:
+            self._counted_at = now
+            jobs = self.ledger.jobs.items()
+            self._counted = {
+                ident: (job.done_count, job.running()) for ident, job in jobs if job.places or job.done_count
+            }
+        return self._counted
+
+    def cached_images(self) -> CachedImages:
+        names = self.ledger.images
+        return CachedImages(
+            [names.name(i) for i in range(len(names))],
+            list(self.ledger.image_gb),
+            {m.name: list(m.images) for m in self.fleet.machines if m.images},
+        )
+
+    def learn_images(self, known: CachedImages) -> None:
+        """Takes over what an earlier leader knew of the machines' images; reports do not tell."""
+        indices = [self.ledger.image(name, gb) for name, gb in zip(known.names, known.gigabytes, strict=True)]
+        for name, held in known.machines.items():
+            m = self.fleet.by_name.get(name)
+            if m is not None:
+                for i in held:
+                    self.fleet.note_image(m, indices[i], known.gigabytes[i])
--- /dev/null
+++ b/src/grebestand/leading/grants.py
@@ -0,0 +1,112 @@
+"""Durable coarse grants: where a job's tasks may have been started, written before any of them is sent."""
+
+from __future__ import annotations
+
+import logging
+
+import gevent
+import msgspec
+from gevent.lock import BoundedSemaphore
+
+from ..books.jobs import Job
+from ..limits.budget import Urgency
+from ..outside.state import StateError
+from ..records.leader import GrantRecord
+from .basis import Basis, Part
+from .leadership import Fenced
+
+log = logging.getLogger("grebestand.grants")
+
+#: machines that the grant of an array names before it says that tasks may be anywhere
+MOST_NAMED = 16
+
+
+class Grants(Part):
+    def __init__(self, basis: Basis) -> None:
+        super().__init__(basis)
+        self.pages = self.pen.pages("grants/")
+        self.granting = BoundedSemaphore(1)
+        self.cover_task: gevent.Greenlet | None = None
+
+    def load(self) -> None:
+        grants: dict[str, GrantRecord] = {}
+        for name, value in self.pages.load(self.pen.state.pairs(self.pages.prefix)):
+            grant = msgspec.convert(value, GrantRecord)
+            grants[name] = grant.joined(grants[name]) if name in grants else grant
+        for name, grant in grants.items():
+            job = self.ledger.jobs.get(name)
+            if job is None:
+                self.pages.drop(name, soon=False)
+            else:
+                self._take(job, grant)
+
+    def _take(self, job: Job, record: GrantRecord) -> None:
+        """An earlier leader's grant: its machines have to be proved before unseen tasks start again. Machines
+        without a record were deleted; a job without a grant was never started."""
+        job.granted_hi = record.hi
+        if record.machines is None:
+            job.granted = None
+            held = {m.index for m in self.fleet.machines}
+        else:
+            held = {m.index for m in (self.fleet.by_name.get(n) for n in record.machines) if m is not None}
+            job.granted = set(held)
+        self.ledger.suspect(job, held, min(record.hi, job.spec.tasks))
+
+    def write(self) -> None:
+        """Makes durable where queued tasks may be, before any of them is sent.
+
+        One at a time: a grant counts as wide as what was written, so nothing may replace it meanwhile.
+        """
+        with self.granting:
+            jobs, self.dispatch.to_cover = self.dispatch.to_cover, {}
+            due = [j for j in jobs.values() if j.live and any(not j.covers(p) for p in j.places.values())]
+            batch = [self._widened(job) for job in due]
+            if not batch:
+                return
+            for job, record, _ in batch:
+                self.pages.put(job.spec.id, record)
+            try:
+                self.pages.save(Urgency.ACCEPT)
+            except BaseException:
+                self.dispatch.to_cover.update(jobs)
+                raise
+            for job, record, machines in batch:
+                job.granted_hi = max(job.granted_hi, record.hi)
+                if record.machines is None or job.granted is None:
+                    job.granted = None
+                else:
+                    job.granted |= machines
+
+    def cover(self) -> None:
+        """Grants are written ahead of the reports that fetch the starts, so that no worker has to wait."""
+        if self.dispatch.to_cover:
+            self.covering().join()
+
+    def covering(self) -> gevent.Greenlet:
+        """The writing of grants that is under way, or a new one."""
+        if self.cover_task is None or self.cover_task.ready():
+            self.cover_task = gevent.spawn(self._try_grants)
+        return self.cover_task
+
+    def _try_grants(self) -> None:
+        try:
+            self.write()
+        except (StateError, Fenced) as e:
+            log.info("starts wait for their grants: %s", e)
+
+    def _widened(self, job: Job) -> tuple[Job, GrantRecord, set[int]]:
+        queued = [p for p in job.places.values() if not job.covers(p)]
+        machines = {p.machine for p in queued} | (job.granted or set())
+        # somewhat further than needed, so that the next few tasks need no write
+        hi = max([job.granted_hi, *(p.index + 1 for p in queued)])
+        if hi > job.granted_hi:
+            hi = min(job.spec.tasks, hi + max(4, hi // 2))
+        if job.granted and not job.gang and len(machines) > MOST_NAMED:
+            # tasks of a wide array come to ever more machines: one write for each would use up the budget
+            record = GrantRecord(hi, None)
+            return job, record, set()
+        known = [m for m in (self.fleet.at(i) for i in machines) if m is not None]
+        record = GrantRecord(hi, sorted(m.name for m in known))
+        if job.granted is None or len(msgspec.json.encode(record)) > self.pen.value_bytes // 4:
+            record.machines = None
+        return job, record, {m.index for m in known}
--- a/src/grebestand/leadership.py
+++ b/src/grebestand/leading/leadership.py
@@ -11,10 +11,10 @@
 
 import msgspec
 
-from .budget import Urgency
-from .fleet import DRIFT
-from .machines import LEADER_STEPS, LeaderState, step
-from .state import HoldGone, StateClient, StateError, absent, at, delete, put
+from ..clocks import DRIFT
+from ..limits.budget import Urgency
+from ..outside.state import HoldGone, StateClient, StateError, absent, at, delete, put
+from ..states import LEADER_STEPS, LeaderState, step
 
 log = logging.getLogger("grebestand.leadership")
 
--- /dev/null
+++ b/src/grebestand/leading/live_jobs.py
@@ -0,0 +1,79 @@
+"""Follows the live records: new jobs, and removals by whichever controller was asked to cancel."""
+
+from __future__ import annotations
+
+import logging
+
+import msgspec
+
+from ..outside.state import TooOld
+from ..records.jobs import LiveRecord
+from ..states import JobState
+from ..wire.store import Event
+from .basis import Basis, Part
+from .closing import Closing
+
+log = logging.getLogger("grebestand.jobs")
+
+
+class LiveJobs(Part):
+    def __init__(self, basis: Basis, closing: Closing) -> None:
+        super().__init__(basis)
+        self.closing = closing
+        #: the revision up to which changes are known
+        self.watched = 0
+
+    def _take_job(self, value: object, version: int, now: float) -> None:
+        record = msgspec.convert(value, LiveRecord)
+        if record.spec.id in self.ledger.jobs:
+            return
+        age = min(max(0.0, self.basis.wall() - record.at), 86400.0)
+        job = self.ledger.add(record.spec, version, now - age, now)
+        job.wait_since = now
+
+    def watch(self) -> None:
+        """Follows the live records: new jobs, and removals by whichever controller was asked to cancel."""
+        try:
+            events = self.pen.state.changes("live/", self.watched, 5000)
+        except TooOld:
+            self._reread()
+            return
+        now = self.clock()
+        for event in events.events:
+            self._take_event(event, now)
+        self.watched = max(self.watched, events.revision)
+
+    def _take_event(self, event: Event, now: float) -> None:
+        if event.put is not None:
+            self._take_job(event.value, event.version, now)
+        elif event.delete is not None:
+            self._removed(event.delete[5:], now)
+
+    def _removed(self, ident: str, now: float) -> None:
+        job = self.ledger.jobs.get(ident)
+        if job is None or job.state is JobState.DONE:
+            return
+        if job.state is JobState.CLOSING:
+            return  # either this leader's own commit, or one that settles it by failing
+        log.info("%s was cancelled", ident)
+        self.dispatch.cancel(job, now)
+        self.closing.drop_records(job)
+
+    def read_all(self, now: float) -> set[str]:
+        """Takes all live records; the watch goes on from the revision of the first page."""
+        seen: set[str] = set()
+        first = 0
+        for page in self.pen.state.scan("live/"):
+            first = first or page.revision
+            for pair in page.items:
+                seen.add(pair.key[5:])
+                self._take_job(pair.value, pair.version, now)
+        self.watched = first
+        return seen
+
+    def _reread(self) -> None:
+        now = self.clock()
+        seen = self.read_all(now)
+        gone = [i for i, j in self.ledger.jobs.items() if j.live and i not in seen and j.version <= self.watched]
+        for ident in gone:
+            self._removed(ident, now)
--- a/src/grebestand/overload.py
+++ b/src/grebestand/limits/load.py
@@ -9,10 +9,10 @@
 import logging
 from collections.abc import Callable
 
-from .machines import LOAD_STEPS, LoadState, step
-from .settings import Quota
+from ..settings.platform import Quota
+from ..states import LOAD_STEPS, LoadState, step
 
-log = logging.getLogger("grebestand.overload")
+log = logging.getLogger("grebestand.load")
 
 #: a controller looks so often whether it is late
 LOOK_S = 0.1
@@ -21,6 +21,8 @@
 RECOVERY_S = 2.0
 #: what a request that is being answered may hold: its body, its buffers and its stack
 REQUEST_KB = 128.0
+#: what has to be exceeded by half for a load to last
+_LIMIT_S = {LoadState.NORMAL: 0.0, LoadState.STRAINED: STRAINED_S, LoadState.OVERLOADED: OVERLOADED_S}
 
 
 class Load:
@@ -46,7 +48,7 @@
         """What should have been done by now is so much late."""
         now = self.clock()
         worse = LoadState.OVERLOADED if late_s >= OVERLOADED_S else LoadState.STRAINED
-        limit = {LoadState.NORMAL: 0.0, LoadState.STRAINED: STRAINED_S, LoadState.OVERLOADED: OVERLOADED_S}[self.state]
+        limit = _LIMIT_S[self.state]
         if late_s >= STRAINED_S and worse.value > self.state.value:
             self.worst_at = now
             self.move(worse, f"late by {late_s:.2f} s")
--- /dev/null
+++ b/src/grebestand/outside/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of what is outside: the state service, the cloud, and HTTP itself."""
--- a/src/grebestand/cloud.py
+++ b/src/grebestand/outside/cloud.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from .budget import Budget, Shed, Urgency
+from ..limits.budget import Budget, Shed, Urgency
+from ..wire.cloud import ListedMachine, MachineList, MachineNames, MachineType, MachineTypes, Rented, RentRequest
 from .http import Transport, Unreachable
-from .wire import ListedMachine, MachineList, MachineType, MachineTypes, Names, Rented, RentRequest
 
 T = TypeVar("T")
 
@@ -53,7 +53,7 @@
         return self._decode(status, answer, Rented).machines
 
     def remove(self, names: list[str]) -> None:
-        status, answer = self._call("POST", "/machines/delete", Names(machines=names), Urgency.DONE)
+        status, answer = self._call("POST", "/machines/delete", MachineNames(machines=names), Urgency.DONE)
         if status != 200:
             raise CloudError(f"status {status}: {answer[:100]!r}")
 
--- a/src/grebestand/state.py
+++ b/src/grebestand/outside/state.py
@@ -7,21 +7,13 @@
 
 import msgspec
 
-from .budget import Budget, Shed, Urgency
+from ..limits.budget import Budget, Shed, Urgency
+from ..wire.store import Change, Condition, Events, Hold, NewHold, Pair, PairList, Revision, Transaction
 from .http import Transport, Unreachable
-from .wire import (
-    Change,
-    Condition,
-    Events,
-    Hold,
-    NewHold,
-    Pair,
-    PairList,
-    Revision,
-    Transaction,
-)
 
 T = TypeVar("T")
+
+
 _encoder = msgspec.json.Encoder()
 
 
--- /dev/null
+++ b/src/grebestand/process/controller.py
@@ -0,0 +1,326 @@
+"""One controller: its parts, its loops, and what it serves."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+
+from ..doors.answer import Answer
+from ..doors.peers import IMAGES_S, PeerDoor
+from ..doors.server import listen, read_body, respond
+from ..doors.users import UserDoor
+from ..doors.workers import WorkerDoor
+from ..features.hooks import Features
+from ..leading.leadership import Fenced, Leadership
+from ..leading.pen import Pen
+from ..leading.term import Term
+from ..limits.budget import Budget
+from ..limits.load import LOOK_S, Load
+from ..outside.cloud import CloudClient, CloudError
+from ..outside.http import HttpTransport, Unreachable
+from ..outside.peer import Peer
+from ..outside.state import StateClient, StateError
+from ..records.finals import Finals
+from ..settings.expressions import Expressions
+from ..settings.platform import Settings, parse_address
+from ..settings.policy import VARIABLES
+from ..states import LeaderState, MachineState
+from ..wire.peers import Hello, Resigned
+from .handover import Handover
+from .types import KnownTypes
+
+log = logging.getLogger("grebestand.controller")
+
+#: authority counts from the last renewal before an outage, so its life is shortened by this much at worst
+RENEW_S = 0.5
+
+
+class Controller:
+    def __init__(self, settings: Settings, policy: Expressions, features: Features | None = None) -> None:
+        self.settings = settings
+        self.policy = policy
+        self.features = features if features is not None else Features()
+        p = settings.params
+        self.clock: Callable[[], float] = time.monotonic
+        self.rng = random.Random()
+        others = max(1, p.nodes - 1)
+        self._leader_share, self._follower_share = 0.7, 0.3 / others
+        reads = Budget(p.state.rps * 0.9 / max(1, p.nodes), p.state.rps * 0.3, self.clock, gevent.spawn_later)
+        writes = Budget(
+            p.state.write_rps * self._follower_share, p.state.write_rps * 0.3, self.clock, gevent.spawn_later
+        )
+        host, port = parse_address(settings.outside.state, "outside.state")
+        self.state = StateClient(HttpTransport(host, port, 24), HttpTransport(host, port, 4), reads, writes)
+        host, port = parse_address(settings.outside.cloud, "outside.cloud")
+        self.cloud = CloudClient(
+            HttpTransport(host, port, 4), Budget(p.cloud.rps * 0.8, p.cloud.rps, self.clock, gevent.spawn_later)
+        )
+        names = {name: low for name, (low, _) in VARIABLES.items()}
+        names["lease_s"] = p.workers.lease_s
+        names["report_s"] = p.workers.report_s
+        self.leadership = Leadership(settings.name, self.state, self.clock, policy.value("hold_s", names))
+        self.leadership.on_move = self._moved
+        self.value_bytes = int(p.state.value_kb * 1024) - 16
+        self.finals = Finals()
+        self.known_types = KnownTypes(self.state, self.cloud, self.value_bytes)
+        self.users = UserDoor(
+            self.state, p.teams, p.zones, self.value_bytes, time.time, self.clock, lambda: self.known_types.types,
+            self._counts, self.finals, self.features,
+        )  # fmt: skip
+        self.workers = WorkerDoor(settings.name, self.leadership, self._term)
+        peers = []
+        for known in settings.peers:
+            host, port = parse_address(known.address, "known.address")
+            peers.append(Peer(known.name, HttpTransport(host, port, 2, connect_s=0.8)))
+        self.peers = PeerDoor(peers, self.clock, self._hello, self._resigned, self.features)
+        self.term: Term | None = None
+        self.users_busy = 0
+        self.pressure = Load(p.quota, self.clock)
+        self.handover = Handover(
+            settings.name, p.workers.report_s, self.leadership, self.peers, self.pressure, self.clock, self._term
+        )
+
+    # leadership -------------------------------------------------------------------------------------------
+
+    def _term(self) -> Term | None:
+        return self.term
+
+    def _moved(self, old: LeaderState, new: LeaderState) -> None:
+        p = self.settings.params
+        leads = new in (LeaderState.LOADING, LeaderState.LEADING, LeaderState.PAUSED)
+        share = self._leader_share if leads else self._follower_share
+        self.state.writes.set_rate(p.state.write_rps * share, p.state.write_rps * share)
+        if new is LeaderState.LOADING and (self.term is None or self.term.token != self.leadership.token):
+            pen = Pen(self.leadership, self.state, self.value_bytes, p.state.txn_ops)
+            term = Term(
+                self.settings, self.policy, pen, self.cloud, self._direct, self.clock, time.time, self.finals,
+                lambda: self.known_types.types, self.pressure, self.features,
+            )  # fmt: skip
+            self.term = term
+            gevent.spawn(self._run_term, term)
+        elif new in (LeaderState.FOLLOWING, LeaderState.RESIGNED):
+            self.term = None
+
+    def _run_term(self, term: Term) -> None:
+        """Loads a term's records, however often it takes, then starts its loops."""
+        while self.term is term and not term.loaded:
+            try:
+                term.load()
+            except StateError as e:
+                log.info("records not read yet: %s", e)
+                gevent.sleep(0.3)
+        if self.term is term:
+            term.gossip.learn_images(self.peers.known_images())
+        while self.term is term and self.leadership.state is LeaderState.PAUSED:
+            gevent.sleep(0.1)
+        if self.term is not term:
+            return
+        if self.leadership.state is LeaderState.LOADING:
+            self.leadership.move(LeaderState.LEADING, "records read")
+        steps: list[tuple[Callable[[], None], float]] = [
+            (term.jobs.watch, 0.0),
+            (term.roster.record, 0.2),
+            (term.closing.close_jobs, 0.05),
+            (term.progress.save, 0.4),
+            (term.grants.cover, 0.1),
+            (term.rentals.clear_orphans, 1.0),
+            (term.step_fleet, 1.0),
+        ]
+        if self.features.records:
+            steps.append((term.save_features, 0.4))
+        steps += self.features.steps
+        for step, pause in steps:
+            gevent.spawn(self._repeat, term, step, pause)
+        gevent.spawn(self._tick, term)
+
+    def _repeat(self, term: Term, step: Callable[[], None], pause: float) -> None:
+        """Runs one step of a term over and over until the term ends."""
+        while self.term is term:
+            if self.leadership.state is LeaderState.PAUSED:
+                gevent.sleep(0.1)
+                continue
+            try:
+                step()
+            except Fenced:
+                gevent.sleep(0.2)
+            except (StateError, CloudError) as e:
+                log.info("%s: %s", step.__name__, e)
+                gevent.sleep(0.3 + self.rng.random() * 0.4)
+            except Exception:
+                log.exception("%s failed", step.__name__)
+                gevent.sleep(1.0)
+            if pause:
+                gevent.sleep(pause)
+
+    def _tick(self, term: Term) -> None:
+        """The clock of a term: silence, placing, proofs and urgent stops."""
+        swept = 0.0
+        while self.term is term:
+            now = self.clock()
+            try:
+                if self.leadership.entitled():
+                    term.pace.step(now)
+                    if now - swept >= 1.5:
+                        swept = now
+                        term.fleet.sweep_silence(now)
+                        term.proof.check(now)
+                        for m in term.proof.to_fence():
+                            gevent.spawn(term.proof.fence, m)
+                    urgent, term.dispatch.urgent = term.dispatch.urgent, set()
+                    for index in urgent:
+                        m2 = term.fleet.at(index)
+                        if m2 is not None and m2.state is MachineState.READY:
+                            gevent.spawn(term.proof.order_stops, m2)
+            except Exception:
+                log.exception("tick failed")
+            gevent.sleep(0.1)
+
+    def _feel_loop(self) -> None:
+        """Notices how late this controller is with what it has to do."""
+        while True:
+            due = self.clock() + LOOK_S
+            gevent.sleep(LOOK_S)
+            self.pressure.felt(self.clock() - due)
+
+    def _lead_loop(self) -> None:
+        """Follows or renews, whichever applies; gives way where others can do better."""
+        lead = self.leadership
+        while True:
+            sent = self.clock()
+            try:
+                lead.check_clock()
+                if lead.state in (LeaderState.FOLLOWING, LeaderState.RESIGNED):
+                    lead.look()
+                    self.handover.state_answered(sent, True)
+                    gevent.sleep(0.8 + 0.4 * self.rng.random())
+                    continue
+                if lead.renew():
+                    self.handover.state_answered(sent, True)
+                    if lead.state is LeaderState.PAUSED:
+                        self._resume()
+                    self.handover.check_workers()
+                    if lead.state is LeaderState.LEADING:
+                        self.handover.check_pace()
+                    gevent.sleep(min(RENEW_S, lead.ttl_s / 6))
+                else:
+                    self.handover.state_answered(sent, False)
+                    self.handover.consider_state()
+                    gevent.sleep(0.3)
+            except StateError as e:
+                log.debug("leadership: %s", e)
+                self.handover.state_answered(sent, False)
+                gevent.sleep(0.3 + 0.3 * self.rng.random())
+            except Exception:
+                log.exception("leadership loop failed")
+                gevent.sleep(1.0)
+
+    def _resume(self) -> None:
+        loaded = self.term is not None and self.term.loaded
+        new = LeaderState.LEADING if loaded else LeaderState.LOADING
+        self.leadership.move(new, "the hold outlived the silence")
+
+    # others -----------------------------------------------------------------------------------------------
+
+    def _hello(self) -> Hello:
+        term = self.term
+        leads = self.leadership.entitled() and term is not None and term.loaded
+        return Hello(
+            self.settings.name,
+            self.leadership.token if leads else 0,
+            self.clock() - self.handover.state_ok_at,
+            term.gossip.counts() if leads and term is not None else {},
+            self.pressure.state.value,
+        )
+
+    def _resigned(self, gone: Resigned) -> None:
+        gevent.spawn(self.handover.succeed, gone)
+
+    def _peer_loop(self, peer: Peer) -> None:
+        while True:
+            self.peers.greet(peer)
+            gevent.sleep(0.9 + 0.2 * self.rng.random())
+
+    def _images_loop(self) -> None:
+        while True:
+            gevent.sleep(IMAGES_S)
+            term = self.term
+            if term is not None and term.loaded and self.leadership.entitled() and self.pressure.spare:
+                self.peers.tell_images(term.gossip.cached_images())
+
+    def _counts(self, ident: str) -> tuple[int, int]:
+        term = self.term
+        if term is not None and term.loaded:
+            job = term.ledger.jobs.get(ident)
+            return (job.done_count, job.running()) if job is not None else (0, 0)
+        return self.peers.leader_counts.get(ident, (0, 0))
+
+    def _direct(self, addr: str, path: str, body: bytes) -> tuple[int, bytes]:
+        try:
+            host, port = parse_address(addr, "addr")
+        except ValueError as e:
+            raise Unreachable(str(e)) from e
+        transport = HttpTransport(host, port, 1)
+        try:
+            return transport.request("POST", path, body, 3.0)
+        finally:
+            transport.close()
+
+    def _types_loop(self) -> None:
+        while True:
+            if self.known_types.read(record=self.leadership.state is LeaderState.LEADING):
+                if self.term is not None:
+                    self.term.fleet.learn_types(self.known_types.types or [])
+                gevent.sleep(120 + 60 * self.rng.random())
+            else:
+                gevent.sleep(0.5 + self.rng.random() if self.known_types.types is None else 10.0)
+
+    # serving ----------------------------------------------------------------------------------------------
+
+    def _answer(self, environ: dict[str, Any]) -> Answer:
+        method, path = environ["REQUEST_METHOD"], environ.get("PATH_INFO", "")
+        if path == "/checkin":
+            if method != "POST":
+                return Answer(405, b"{}", allow="POST")
+            return self.workers.checkin(read_body(environ))
+        if path == "/healthz":
+            if method != "GET":
+                return Answer(405, b"{}", allow="GET")
+            return Answer(200 if self.handover.healthy() else 503, b"{}")
+        if not self.pressure.takes(self.users_busy, poll=method == "GET"):
+            # reports from workers go first; users are told at once and come back
+            return Answer(503, b'{"error":"overloaded"}', retry_after=1)
+        self.users_busy += 1
+        try:
+            return self.users.route(method, path, lambda: read_body(environ))
+        finally:
+            self.users_busy -= 1
+
+    def app(self, environ: dict[str, Any], start: Callable[..., Any]) -> list[bytes]:
+        try:
+            answer = self._answer(environ)
+        except OSError:
+            answer = Answer(400, b'{"error":"unreadable request"}')
+        except Exception:
+            log.exception("request failed")
+            answer = Answer(503, b'{"error":"internal"}', retry_after=1)
+        return respond(answer, start)
+
+    def serve(self) -> None:
+        limit = max(50, int(self.settings.params.quota.max_connections * 0.75))
+        server = listen(self.settings.listen, "serve_on", self.app, limit)
+        listen(self.settings.peer_listen, "peer_listen", self.peers.app, 40).start()
+        for extra in self.features.listeners:
+            listen(extra.address, extra.field, extra.app, extra.connections).start()
+        gevent.spawn(self._lead_loop)
+        gevent.spawn(self._feel_loop)
+        gevent.spawn(self._types_loop)
+        gevent.spawn(self._images_loop)
+        for peer in self.peers.peers:
+            gevent.spawn(self._peer_loop, peer)
+        log.info("%s serves on %s", self.settings.name, self.settings.listen)
+        server.serve_forever()
--- a/src/grebestand/pages.py
+++ b/src/grebestand/records/pages.py
@@ -15,13 +15,12 @@
 import msgspec
 from gevent.lock import BoundedSemaphore
 
-from .budget import Urgency
-from .state import StateError, at, put
-from .wire import Change, Condition, Pair
+from ..limits.budget import Urgency
+from ..outside.state import StateError, at, put
+from ..wire.store import Change, Condition, Pair
 
 #: makes a transaction of these conditions and changes; answers the new version, or the keys that failed
 Commit = Callable[[list[Condition], list[Change], Urgency], tuple[int, list[str]]]
-
 #: what a transaction may hold in all, with room for its other parts
 TRANSACTION_BYTES = 56_000
 
--- /dev/null
+++ b/src/grebestand/reports/answers.py
@@ -0,0 +1,79 @@
+"""What a worker is told in answer to its report, and directly."""
+
+from __future__ import annotations
+
+from ..books.jobs import Job
+from ..books.ledger import Ledger
+from ..books.machine import Machine
+from ..states import JobState, MachineState, PlaceState
+from ..wire.jobs import Malformed, split_task
+from ..wire.workers import Command, Report, TaskReport, TaskStatus, Why
+
+#: a response line and a report body hold 64 KiB; this keeps both well below
+MOST_COMMANDS = 300
+
+
+class Answers:
+    def __init__(self, ledger: Ledger) -> None:
+        self.ledger = ledger
+
+    def commands(self, m: Machine, r: Report, now: float) -> list[Command]:
+        """What the worker is told. Starts ride on check-in responses only, and only to recorded machines."""
+        out: list[Command] = []
+        for status in r.tasks:
+            known = m.places.get(status.task)
+            there = known is not None and known.attempt == status.attempt
+            if there and status.state is not TaskReport.EXITED:
+                continue
+            try:
+                ident, index = split_task(status.task)
+            except Malformed:
+                continue
+            if status.state is not TaskReport.EXITED:
+                # over, unknown, or a second copy: it must not stay
+                out.append(Command("stop", status.task, status.attempt, 0.0))
+            elif self._may_forget(self.ledger.jobs.get(ident), index, status):
+                out.append(Command("forget", status.task, status.attempt))
+            if len(out) >= MOST_COMMANDS:
+                return out
+        starts = m.state is MachineState.READY and m.recorded
+        for place in m.places.values():
+            if place.stop is not None:
+                # a repeat with the same grace changes nothing; only a grace of 0 cuts a save short
+                out.append(Command("stop", place.name, place.attempt, place.grace))
+                place.stop_sent_at = now
+            elif not starts:
+                continue
+            elif place.state is PlaceState.QUEUED or (place.state is PlaceState.SENT and place.sent_seq < 0):
+                if not place.job.covers(place):
+                    continue  # a later leader would not know where to look for it
+                if place.held and self._gang_fetches(place.job):
+                    continue
+                self.ledger.move_place(place, PlaceState.SENT, now)
+                place.session = place.sent_session = r.session
+                place.sent_seq = r.seq
+                out.append(Command("start", place.name, place.attempt))
+            if len(out) >= MOST_COMMANDS:
+                break
+        return out
+
+    @staticmethod
+    def _gang_fetches(job: Job) -> bool:
+        """Whether others of the gang still wait for the image, so that one more task would only wait for them."""
+        early = (PlaceState.QUEUED, PlaceState.SENT, PlaceState.FETCHING)
+        return any(not p.held and p.state in early for p in job.places.values())
+
+    def _may_forget(self, job: Job | None, index: int, status: TaskStatus) -> bool:
+        if job is None or status.why is not Why.DONE or index >= job.spec.tasks:
+            return True
+        # a result is forgotten only once it is durable: until then the report is the only record of it
+        return job.state in (JobState.DONE, JobState.CANCELLED) or job.is_durable(index)
+
+    @staticmethod
+    def uncovered(m: Machine) -> bool:
+        """Whether a grant has to be widened before all that is queued for this machine may be sent."""
+        return any(p.state is PlaceState.QUEUED and not p.job.covers(p) for p in m.places.values())
+
+    @staticmethod
+    def direct_stops(m: Machine) -> list[Command]:
+        return [Command("stop", p.name, p.attempt, p.grace) for p in m.places.values() if p.stop is not None]
--- a/src/grebestand/workers.py
+++ b/src/grebestand/reports/reading.py
@@ -1,15 +1,21 @@
-"""Dealings with workers: what a report proves, and which commands its answer carries."""
+"""What a report proves, and what follows from it for the books."""
 
 from __future__ import annotations
 
 import logging
 
-from .fleet import Fleet, Machine
-from .ledger import Job, Ledger, Place
-from .machines import JobState, MachineState, PlaceState
-from .wire import Command, Kind, Malformed, Report, TaskReport, TaskStatus, Why, split_task
+from ..books.dispatch import Dispatch
+from ..books.fleet import Fleet
+from ..books.jobs import Job, Place
+from ..books.learned import RunTimes
+from ..books.ledger import Ledger
+from ..books.machine import Machine
+from ..decisions.health import Health
+from ..states import JobState, MachineState, PlaceState
+from ..wire.jobs import Kind, Malformed, split_task
+from ..wire.workers import Report, TaskReport, TaskStatus, Why
 
-log = logging.getLogger("grebestand.workers")
+log = logging.getLogger("grebestand.reports")
 
 _SEEN = {
     TaskReport.FETCHING: PlaceState.FETCHING,
@@ -17,75 +23,18 @@
     TaskReport.RUNNING: PlaceState.RUNNING,
     TaskReport.SAVING: PlaceState.SAVING,
 }
-
-#: how many attempts a leader can name under one token before it would run into the next one's
-ATTEMPTS_PER_TOKEN = 1 << 24
-
 #: how long the machines of a gang are kept for its next attempt while an image is still on its way
 WARM_S = 45.0
 
-#: a response line and a report body hold 64 KiB; this keeps both well below
-MOST_COMMANDS = 300
-
 
-class Desk:
-    """Reads reports into the books and writes the answers. Holds no I/O."""
-
-    def __init__(self, ledger: Ledger, fleet: Fleet, token: int, sick_errors: int = 3) -> None:
+class Reader:
+    def __init__(self, ledger: Ledger, fleet: Fleet, dispatch: Dispatch, run_times: RunTimes, health: Health) -> None:
         self.ledger = ledger
         self.fleet = fleet
-        self.token = token
-        self.sick_errors = sick_errors
-        self.urgent: set[int] = set()
-        self.closing: dict[str, Job] = {}
-        #: jobs with queued tasks that their durable grant does not cover yet
-        self.to_cover: dict[str, Job] = {}
-        self.run_ratio: dict[str, float] = {}
-        self._attempts = 0
-
-    def next_attempt(self) -> int:
-        """Unique among all leaders' attempts: the token never repeats, nor does the count below it."""
-        self._attempts += 1
-        return self.token * ATTEMPTS_PER_TOKEN + self._attempts
-
-    # placing and stopping ---------------------------------------------------------------------------------
-
-    def start(self, job: Job, index: int, m: Machine, attempt: int, now: float) -> Place:
-        place = self.ledger.open_place(job, index, m.index, attempt, now)
-        place.session = m.session
-        self.fleet.occupy(m, place)
-        if not job.covers(place):
-            self.to_cover[job.spec.id] = job
-        return place
-
-    def stop(self, place: Place, why: str, grace: float, now: float) -> None:
-        """Asks for a task's end. What was never sent is simply taken back."""
-        m = self.fleet.at(place.machine)
-        if m is None or place.state is PlaceState.GONE:
-            return
-        if place.state is PlaceState.QUEUED:
-            self.fleet.release(m, place, now)
-            return
-        if place.stop is not None and grace >= place.grace:
-            return
-        if place.stop is None:
-            m.leaving += 1
-        place.stop, place.grace = why, grace
-        self.urgent.add(m.index)
-
-    def stop_job(self, job: Job, why: str, grace: float, now: float) -> None:
-        for place in list(job.places.values()):
-            self.stop(place, why, grace, now)
-
-    def cancel(self, job: Job, now: float) -> None:
-        """The cancellation is committed: nothing more starts, and what is anywhere is stopped."""
-        if job.state in (JobState.DONE, JobState.CANCELLED):
-            return
-        self.ledger.move_job(job, JobState.CANCELLED, now)
-        self.stop_job(job, "cancelled", 0.0, now)
-        self.ledger.drop_if_settled(job)
-
-    # reports ----------------------------------------------------------------------------------------------
+        self.dispatch = dispatch
+        self.run_times = run_times
+        self.health = health
+        self.token = dispatch.token
 
     def meet(self, r: Report, now: float) -> Machine:
         m = self.fleet.by_name.get(r.machine)
@@ -134,7 +83,7 @@
             log.info("machine %s will be taken back in %.0f s", m.name, r.notice_s)
             m.drain = "recall"
             m.doom_at = now + r.notice_s
-            self.evacuate(m, now)
+            self.health.evacuate(m, now)
         return m
 
     def _read_absent(self, m: Machine, r: Report, direct: bool, now: float) -> None:
@@ -179,7 +128,7 @@
         if state is not PlaceState.FETCHING:
             self.fleet.note_image(m, place.job.image, place.job.spec.image_gb)
             if place.warms:
-                self.stop(place, "gang broken", 0.0, now)
+                self.dispatch.stop(place, "gang broken", 0.0, now)
 
     def _adopt(self, m: Machine, job: Job, index: int, status: TaskStatus, now: float) -> Place:
         """A task that an earlier leader started: it goes on."""
@@ -193,7 +142,7 @@
         why = status.why
         if why is Why.DONE:
             if place is not None and place.run_at is not None and job.spec.estimate_s > 0:
-                self._learn(job, now - place.run_at)
+                self.run_times.learn(job, now - place.run_at)
             if place is not None:
                 self._ended(m, place, now)
             m.errors = 0
@@ -206,7 +155,7 @@
             # another attempt of this task is on this very machine: the report names it, and it is adopted
             log.info("%s on %s: another attempt is there", status.task, m.name)
         elif why is Why.ERROR:
-            self._failed(m, job, now)
+            self.health.failed(m, job, now)
         elif why is Why.NO_ROOM:
             # the machine holds something this leader does not count: look again after the next reports
             log.info("%s refused by %s: no room", status.task, m.name)
@@ -220,32 +169,6 @@
             log.info("%s on %s: its gang did not become complete", status.task, m.name)
         self._lost(m, place, why.value if why else "exited", now)
 
-    def _failed(self, m: Machine, job: Job, now: float) -> None:
-        """Tells faulty machines from faulty jobs: each gets fewer chances as its failures mount."""
-        job.errors += 1
-        job.avoid[m.index] = now
-        if len(job.avoid) > 64:
-            job.avoid.pop(next(iter(job.avoid)))
-        if not job.earned and len(job.avoid) >= 3:
-            # it failed on several machines and never got anywhere: the job's own mistake, most likely
-            job.hold_until = now + min(120.0, 2.0 ** min(job.errors, 7))
-            return
-        m.error_jobs.add(job.spec.id)
-        if now - m.error_at > 1.0:  # tasks that fall together are one failure of the machine
-            m.errors += 1
-            m.error_at = now
-        m.blocked_until = now + min(60.0, 2.0 * 2 ** min(m.errors, 5))
-        log.info("%s failed on %s (%d failures there in a row)", job.spec.id, m.name, m.errors)
-        if m.drain is None and m.errors >= self.sick_errors and len(m.error_jobs) >= 2:
-            log.warning("machine %s fails what it starts: it is drained and returned", m.name)
-            m.drain = "faulty"
-            self.evacuate(m, now)
-
-    def _learn(self, job: Job, seconds: float) -> None:
-        ratio = min(10.0, max(0.1, seconds / job.spec.estimate_s))
-        old = self.run_ratio.get(job.spec.klass, 1.0)
-        self.run_ratio[job.spec.klass] = old + 0.05 * (ratio - old)
-
     def _ended(self, m: Machine, place: Place, now: float) -> None:
         self.fleet.release(m, place, now)
         self.ledger.drop_if_settled(place.job)
@@ -262,9 +185,9 @@
             for other in list(job.places.values()):
                 if other.attempt == place.attempt:
                     if other.stop is None and not self._keeps_fetching(m, other, why, now):
-                        self.stop(other, "gang broken", 0.0, now)
+                        self.dispatch.stop(other, "gang broken", 0.0, now)
                 else:
-                    self.stop(other, "stale attempt", 0.0, now)
+                    self.dispatch.stop(other, "stale attempt", 0.0, now)
 
     def _keeps_fetching(self, m: Machine, place: Place, why: str, now: float) -> bool:
         """Whether a task of a gang that waited in vain goes on fetching, so that the next attempt finds the image.
@@ -292,84 +215,3 @@
             job.dirty.setdefault(index // self.ledger.chunk_bits, now)
         if job.unfinished() == 0:
             self.ledger.move_job(job, JobState.CLOSING, now)
-            self.closing[job.spec.id] = job
-
-    def evacuate(self, m: Machine, now: float) -> None:
-        """Stops what is on a machine that is about to go, saving where there is something to save."""
-        for place in list(m.places.values()):
-            job = place.job
-            if not job.live:
-                continue
-            left = m.doom_at - now
-            saves = job.spec.checkpoint_s > 0 and left > job.spec.save_s
-            if not saves and place.run_at is not None:
-                expected = job.spec.estimate_s * self.run_ratio.get(job.spec.klass, 1.0)
-                if expected - (now - place.run_at) < left and m.drain == "recall":
-                    continue  # it may well complete before the machine goes
-            if m.drain == "faulty" and place.state is PlaceState.RUNNING:
-                continue  # what runs may run to its end
-            if job.gang:
-                self.stop_job(job, m.drain or "drain", job.spec.save_s + 1.0 if saves else 0.0, now)
-            else:
-                self.stop(place, m.drain or "drain", job.spec.save_s + 1.0 if saves else 0.0, now)
-
-    # answers ----------------------------------------------------------------------------------------------
-
-    def commands(self, m: Machine, r: Report, now: float) -> list[Command]:
-        """What the worker is told. Starts ride on check-in responses only, and only to recorded machines."""
-        out: list[Command] = []
-        for status in r.tasks:
-            known = m.places.get(status.task)
-            there = known is not None and known.attempt == status.attempt
-            if there and status.state is not TaskReport.EXITED:
-                continue
-            try:
-                ident, index = split_task(status.task)
-            except Malformed:
-                continue
-            if status.state is not TaskReport.EXITED:
-                # over, unknown, or a second copy: it must not stay
-                out.append(Command("stop", status.task, status.attempt, 0.0))
-            elif self._may_forget(self.ledger.jobs.get(ident), index, status):
-                out.append(Command("forget", status.task, status.attempt))
-            if len(out) >= MOST_COMMANDS:
-                return out
-        starts = m.state is MachineState.READY and m.recorded
-        for place in m.places.values():
-            if place.stop is not None:
-                # a repeat with the same grace changes nothing; only a grace of 0 cuts a save short
-                out.append(Command("stop", place.name, place.attempt, place.grace))
-                place.stop_sent_at = now
-            elif not starts:
-                continue
-            elif place.state is PlaceState.QUEUED or (place.state is PlaceState.SENT and place.sent_seq < 0):
-                if not place.job.covers(place):
-                    continue  # a later leader would not know where to look for it
-                if place.held and self._gang_fetches(place.job):
-                    continue
-                self.ledger.move_place(place, PlaceState.SENT, now)
-                place.session = place.sent_session = r.session
-                place.sent_seq = r.seq
-                out.append(Command("start", place.name, place.attempt))
-            if len(out) >= MOST_COMMANDS:
-                break
-        return out
-
-    @staticmethod
-    def _gang_fetches(job: Job) -> bool:
-        """Whether others of the gang still wait for the image, so that one more task would only wait for them."""
-        early = (PlaceState.QUEUED, PlaceState.SENT, PlaceState.FETCHING)
-        return any(not p.held and p.state in early for p in job.places.values())
-
-    def _may_forget(self, job: Job | None, index: int, status: TaskStatus) -> bool:
-        if job is None or status.why is not Why.DONE or index >= job.spec.tasks:
-            return True
-        # a result is forgotten only once it is durable: until then the report is the only record of it
-        return job.state in (JobState.DONE, JobState.CANCELLED) or job.is_durable(index)
-
-    def uncovered(self, m: Machine) -> bool:
-        """Whether a grant has to be widened before all that is queued for this machine may be sent."""
-        return any(p.state is PlaceState.QUEUED and not p.job.covers(p) for p in m.places.values())
-
-    def direct_stops(self, m: Machine) -> list[Command]:
-        return [Command("stop", p.name, p.attempt, p.grace) for p in m.places.values() if p.stop is not None]
--- a/src/grebestand/policy.py
+++ b/src/grebestand/settings/expressions.py
@@ -1,9 +1,9 @@
-"""The operators' own settings: a small expression language with a checker.
+"""The operators' expression language and its checker.
 
-A policy file is TOML whose values are numbers, booleans or expressions in a string. An expression is a
-subset of Python's syntax, parsed with the standard library's `ast` and never handed to `eval`. The checker
-infers a type and a range for every part, so that an expression that could divide by zero or take the
-logarithm of nothing is refused at start rather than at night.
+A settings file of the operators is TOML whose values are numbers, booleans or expressions in a string. An expression
+is a subset of Python's syntax, parsed with the standard library's `ast` and never handed to `eval`. The checker
+infers a type and a range for every part, so that an expression that could divide by zero or take the logarithm of
+nothing is refused at start rather than at night. Which keys and names there are is up to each file's `Vocabulary`.
 """
 
 from __future__ import annotations
@@ -13,25 +13,10 @@
 import tomllib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from importlib import resources
 
 INF = math.inf
-
-#: names an expression may use, with the range that the program guarantees for each
-VARIABLES: dict[str, tuple[float, float]] = {
-    "machines": (1.0, 1e6),
-    "busy": (0.0, 1e6),
-    "types": (1.0, 1e4),
-    "zones": (1.0, 1e4),
-    "teams": (0.0, 1e6),
-    "controllers": (1.0, 1e3),
-    "report_s": (1e-3, 1e5),
-    "lease_s": (1e-3, 1e6),
-    "cancel_s": (1e-3, 1e6),
-    "gang_wait_s": (1e-3, 1e6),
-    "gang_peer_s": (1e-3, 1e6),
-    "guarantee_s": (0.0, 1e6),
-}
+#: names with their ranges
+Names = Mapping[str, tuple[float, float]]
 
 
 @dataclass(frozen=True)
@@ -43,28 +28,6 @@
     boolean: bool = False
 
 
-KEYS: dict[str, Rule] = {
-    "g": Rule(0, 1e6),
-    "period_s": Rule(0.2, 600),
-    "type_bound": Rule(1, 1000),
-    "hold_s": Rule(1, 600),
-    "payoff_production": Rule(1e-6, 1e9),
-    "payoff_high": Rule(1e-6, 1e9),
-    "payoff_normal": Rule(1e-6, 1e9),
-    "payoff_low": Rule(1e-6, 1e9),
-    "preempt_after_s": Rule(0, 1e6),
-    "reclaim_after_s": Rule(0, 1e6),
-    "migrate": Rule(0, 1, boolean=True),
-    "lend_spare": Rule(0, 1, boolean=True),
-    "rent": Rule(0, 1, boolean=True),
-    "rent_spot": Rule(0, 1, boolean=True),
-    "idle_return_s": Rule(1, 1e9),
-    "keep_empty": Rule(0, 1e6),
-    "dead_after_s": Rule(1, 1e9),
-    "sick_errors": Rule(1, 1e6),
-}
-
-
 @dataclass(frozen=True)
 class Fault:
     """One thing wrong with a policy file."""
@@ -78,12 +41,22 @@
         return f"{self.file}: {self.key}: column {self.column}: {self.text}"
 
 
-class PolicyError(ValueError):
+class ExpressionError(ValueError):
+    """What is wrong with a file: every fault found, one line each."""
+
     def __init__(self, faults: list[Fault]) -> None:
         super().__init__("; ".join(str(f) for f in faults))
         self.faults = faults
 
 
+@dataclass(frozen=True)
+class Vocabulary:
+    """The keys that a file may set, and the names its expressions may use with the range guaranteed for each."""
+
+    keys: Mapping[str, Rule]
+    names: Mapping[str, tuple[float, float]]
+
+
 class _Refused(Exception):
     def __init__(self, node: ast.AST, text: str) -> None:
         super().__init__(text)
@@ -115,6 +88,7 @@
     "max": (2, 8),
 }
 
+
 _CALLS: dict[str, Callable[..., float]] = {
     "ln": math.log,
     "log2": math.log2,
@@ -131,7 +105,7 @@
     return 0.0 if a == 0 or b == 0 else a * b
 
 
-def _infer(node: ast.expr) -> _Shape:
+def _infer(node: ast.expr, names: Names) -> _Shape:
     match node:
         case ast.Constant(value=bool()):
             return _Shape(True)
@@ -141,36 +115,36 @@
                 raise _Refused(node, "not a finite number")
             return _number(value, value)
         case ast.Name(id=name):
-            if name not in VARIABLES:
-                raise _Refused(node, f"unknown name {name!r} (known: {', '.join(sorted(VARIABLES))})")
-            return _number(*VARIABLES[name])
+            if name not in names:
+                raise _Refused(node, f"unknown name {name!r} (known: {', '.join(sorted(names))})")
+            return _number(*names[name])
         case ast.UnaryOp(op=ast.USub(), operand=operand):
-            inner = _want_number(operand)
+            inner = _want_number(operand, names)
             return _number(-inner.high, -inner.low)
         case ast.UnaryOp(op=ast.Not(), operand=operand):
-            _want_boolean(operand)
+            _want_boolean(operand, names)
             return _Shape(True)
         case ast.BinOp(left=left, op=op, right=right):
-            return _infer_binary(node, _want_number(left), op, _want_number(right), right)
+            return _infer_binary(node, _want_number(left, names), op, _want_number(right, names), right)
         case ast.BoolOp(values=values):
             for part in values:
-                _want_boolean(part)
+                _want_boolean(part, names)
             return _Shape(True)
         case ast.Compare(left=left, ops=ops, comparators=others):
             for side in (left, *others):
-                _want_number(side)
+                _want_number(side, names)
             for compare in ops:
                 if not isinstance(compare, ast.Lt | ast.LtE | ast.Gt | ast.GtE | ast.Eq | ast.NotEq):
                     raise _Refused(node, "this comparison is not allowed")
             return _Shape(True)
         case ast.IfExp(test=test, body=body, orelse=orelse):
-            _want_boolean(test)
-            a, b = _infer(body), _infer(orelse)
+            _want_boolean(test, names)
+            a, b = _infer(body, names), _infer(orelse, names)
             if a.boolean != b.boolean:
                 raise _Refused(node, "both sides of 'if' must have the same type")
             return _Shape(a.boolean, min(a.low, b.low), max(a.high, b.high))
         case ast.Call(func=ast.Name(id=name), args=args, keywords=[]):
-            return _infer_call(node, name, args)
+            return _infer_call(node, name, args, names)
         case _:
             raise _Refused(node, f"{type(node).__name__} is not allowed here")
 
@@ -193,13 +167,13 @@
             raise _Refused(node, f"operator {type(op).__name__} is not allowed")
 
 
-def _infer_call(node: ast.expr, name: str, args: list[ast.expr]) -> _Shape:
+def _infer_call(node: ast.expr, name: str, args: list[ast.expr], names: Names) -> _Shape:
     if name not in _FUNCTIONS:
         raise _Refused(node, f"unknown function {name!r} (known: {', '.join(sorted(_FUNCTIONS))})")
     least, most = _FUNCTIONS[name]
     if not least <= len(args) <= most:
         raise _Refused(node, f"{name} takes {least} to {most} arguments, not {len(args)}")
-    shapes = [_want_number(a) for a in args]
+    shapes = [_want_number(a, names) for a in args]
     first = shapes[0]
     if name in ("ln", "log2"):
         if first.low <= 0:
@@ -221,15 +195,15 @@
     return _number(pick(s.low for s in shapes), pick(s.high for s in shapes))
 
 
-def _want_number(node: ast.expr) -> _Shape:
-    shape = _infer(node)
+def _want_number(node: ast.expr, names: Names) -> _Shape:
+    shape = _infer(node, names)
     if shape.boolean:
         raise _Refused(node, "a number is needed here, not true or false")
     return shape
 
 
-def _want_boolean(node: ast.expr) -> _Shape:
-    shape = _infer(node)
+def _want_boolean(node: ast.expr, names: Names) -> _Shape:
+    shape = _infer(node, names)
     if not shape.boolean:
         raise _Refused(node, "true or false is needed here, not a number")
     return shape
@@ -285,22 +259,24 @@
     return a != b
 
 
-class Policy:
-    """A checked policy: `value(key)` under the names' values of the moment."""
+class Expressions:
+    """The checked expressions of one file: `value(key)` under the names' values of the moment."""
 
-    def __init__(self, expressions: dict[str, ast.expr]) -> None:
-        self._expressions = expressions
+    def __init__(self, vocabulary: Vocabulary, expressions: dict[str, ast.expr]) -> None:
+        self.vocabulary = vocabulary
+        self.expressions = expressions
 
     def value(self, key: str, names: Mapping[str, float]) -> float:
         """Never outside the key's range, and a name never outside its own: the checker relied on both."""
-        clipped = {n: min(max(v, VARIABLES[n][0]), VARIABLES[n][1]) for n, v in names.items()}
-        rule = KEYS[key]
-        return min(max(_evaluate(self._expressions[key], clipped), rule.low), rule.high)
+        ranges = self.vocabulary.names
+        clipped = {n: min(max(v, ranges[n][0]), ranges[n][1]) for n, v in names.items()}
+        rule = self.vocabulary.keys[key]
+        return min(max(_evaluate(self.expressions[key], clipped), rule.low), rule.high)
 
 
-def _check_one(file: str, key: str, value: object) -> tuple[ast.expr | None, Fault | None]:
-    if key not in KEYS:
-        return None, Fault(file, key, 1, f"unknown setting (known: {', '.join(sorted(KEYS))})")
+def _check_one(file: str, key: str, value: object, vocabulary: Vocabulary) -> tuple[ast.expr | None, Fault | None]:
+    if key not in vocabulary.keys:
+        return None, Fault(file, key, 1, f"unknown setting (known: {', '.join(sorted(vocabulary.keys))})")
     if isinstance(value, bool | int | float):
         text = repr(value)
     elif isinstance(value, str):
@@ -313,9 +289,9 @@
         tree = ast.parse(text, mode="eval").body
     except (SyntaxError, ValueError, RecursionError, MemoryError) as e:
         return None, Fault(file, key, getattr(e, "offset", 1) or 1, f"not an expression: {e}")
-    rule = KEYS[key]
+    rule = vocabulary.keys[key]
     try:
-        shape = _infer(tree)
+        shape = _infer(tree, vocabulary.names)
     except _Refused as e:
         return None, Fault(file, key, e.column, e.text)
     except (RecursionError, OverflowError) as e:
@@ -328,39 +304,37 @@
     return tree, None
 
 
-def parse(text: str, file: str, base: Policy | None = None) -> Policy:
-    """A policy from a file's text over `base`; raises `PolicyError` with all faults found."""
-    try:
-        raw = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as e:
-        raise PolicyError([Fault(file, "-", 1, f"not TOML: {e}")]) from e
-    found = dict(base._expressions) if base else {}
+def parse(raw: Mapping[str, object], file: str, vocabulary: Vocabulary, base: Expressions | None = None) -> Expressions:
+    """The checked expressions of a file over `base`; raises `ExpressionError` with all faults found.
+
+    Without a base every key has to be set.
+    """
+    found = dict(base.expressions) if base else {}
     faults = []
     for key, value in raw.items():
-        tree, fault = _check_one(file, key, value)
+        tree, fault = _check_one(file, key, value, vocabulary)
         if fault:
             faults.append(fault)
         elif tree is not None:
             found[key] = tree
     if base is None:
-        faults += [Fault(file, key, 1, "setting is missing") for key in KEYS if key not in found]
+        faults += [Fault(file, key, 1, "setting is missing") for key in vocabulary.keys if key not in found]
     if faults:
-        raise PolicyError(faults)
-    return Policy(found)
-
+        raise ExpressionError(faults)
+    return Expressions(vocabulary, found)
 
-def default() -> Policy:
-    text = resources.files("grebestand").joinpath("default_policy.toml").read_text("utf-8")
-    return parse(text, "default_policy.toml")
 
-
-def load(path: str | None) -> Policy:
-    base = default()
-    if path is None:
-        return base
+def read(path: str) -> dict[str, object]:
+    """A TOML file's contents; what is wrong with it as a fault that names it."""
     try:
         with open(path, "rb") as f:
-            text = f.read().decode("utf-8")
+            return read_text(f.read().decode("utf-8"), path)
     except (OSError, UnicodeDecodeError) as e:
-        raise PolicyError([Fault(path, "-", 1, str(e))]) from e
-    return parse(text, path, base)
+        raise ExpressionError([Fault(path, "-", 1, str(e))]) from e
+
+
+def read_text(text: str, file: str) -> dict[str, object]:
+    try:
+        return tomllib.loads(text)
+    except tomllib.TOMLDecodeError as e:
+        raise ExpressionError([Fault(file, "-", 1, f"not TOML: {e}")]) from e
--- a/src/grebestand/machines.py
+++ b/src/grebestand/states.py
@@ -31,6 +31,7 @@
 
 _ON = frozenset({PlaceState.FETCHING, PlaceState.WAITING, PlaceState.RUNNING, PlaceState.SAVING})
 
+
 PLACE_STEPS: dict[PlaceState, frozenset[PlaceState]] = {
     PlaceState.QUEUED: frozenset({PlaceState.SENT, PlaceState.GONE}) | _ON,
     PlaceState.SENT: frozenset({PlaceState.SENT, PlaceState.GONE}) | _ON,
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -10,11 +10,15 @@
 import gevent
 import pytest
 
-from grebestand import controller, policy
-from grebestand.budget import Budget, Shed, Urgency
+from grebestand.books.amounts import MICRO
+from grebestand.books.slots import Slot
 from grebestand.cli import main
-from grebestand.placement import MICRO, Pool, Seat, Slot, cra, gpa, max_reward
-from grebestand.settings import SettingsError, parse
+from grebestand.decisions.greedy import Pool, Seat, cra, gpa, max_reward
+from grebestand.doors import server
+from grebestand.limits.budget import Budget, Shed, Urgency
+from grebestand.settings import policy
+from grebestand.settings.expressions import ExpressionError
+from grebestand.settings.platform import SettingsError, parse
 from world import SETTINGS, Clock, Node, World
 
 
@@ -27,7 +31,7 @@
 )  # fmt: skip
 def test_garbage_is_malformed(body: bytes) -> None:
     world = World()
-    assert Node(world, "n").api.submit(body).status == 400
+    assert Node(world, "n").users.submit(body).status == 400
 
 
 @pytest.mark.parametrize(
@@ -43,12 +47,12 @@
 )  # fmt: skip
 def test_each_field_is_checked(field: str, value: object, status: int) -> None:
     world = World()
-    assert Node(world, "n").api.submit(world.job(**{field: value})).status == status
+    assert Node(world, "n").users.submit(world.job(**{field: value})).status == status
 
 
 def test_limits_count_one_task_of_an_array_and_all_of_a_gang() -> None:
     world = World()
-    api = Node(world, "n").api
+    api = Node(world, "n").users
     assert api.submit(world.job(crew="red", shards=100, cpus=1.0)).status == 201
     assert api.submit(world.job(crew="red", shape="ensemble", shards=17, cpus=1.0)).status == 422
     assert api.submit(world.job(crew="red", shape="daemon", shards=16, cpus=1.0)).status == 201
@@ -56,12 +60,12 @@
 
 def test_a_repeat_is_recognised_whatever_else_it_says() -> None:
     world = World()
-    api = Node(world, "n").api
+    api = Node(world, "n").users
     assert api.submit(world.job(ref="j-000500")).status == 201
     assert api.submit(b'{"ref":"j-000500"}').status == 200
     assert api.submit(world.job(ref="j-000500", crew="nobody")).status == 200
     assert api.cancel("j-000500").status == 200
-    for other in (api, Node(world, "m").api):
+    for other in (api, Node(world, "m").users):
         answer = other.submit(b'{"ref":"j-000500"}')
         assert answer.status == 200 and json.loads(answer.body)["tide"] == "cancelled"
         assert json.loads(other.poll("j-000500").body)["tide"] == "cancelled"
@@ -69,7 +73,7 @@
 
 def test_unknown_jobs_and_paths() -> None:
     world = World()
-    api = Node(world, "n").api
+    api = Node(world, "n").users
     assert api.poll("j-000404").status == 404
     assert api.cancel("j-000404").status == 404
     assert api.poll("nonsense").status == 400
@@ -83,17 +87,17 @@
     world = World()
     node = Node(world, "n")
     world.state.down = True
-    for answer in (node.api.submit(world.job()), node.api.poll("j-000001"), node.api.cancel("j-000001")):
+    for answer in (node.users.submit(world.job()), node.users.poll("j-000001"), node.users.cancel("j-000001")):
         assert answer.status == 503 and answer.retry_after
     assert world.clock.now == 1000.0
     world.state.down = False
-    node.api.machine_types = lambda: None
-    assert node.api.submit(world.job()).status == 503
+    node.users.machine_types = lambda: None
+    assert node.users.submit(world.job()).status == 503
 
 
 def test_a_description_at_the_size_limit_is_kept_and_one_above_is_refused() -> None:
     world = World()
-    api = Node(world, "n").api
+    api = Node(world, "n").users
     names = ["m4"] + [f"{i:0150d}" for i in range(23)]
     assert api.submit(world.job(hulls=names)).status == 201
     assert api.submit(world.job(hulls=[*names, "x" * 150, "y" * 150])).status == 400
@@ -128,8 +132,8 @@
 
 def test_headers_are_parsed_once_for_each_block_and_never_mixed_up() -> None:
     """Parsing the headers, the same ones for every report of a size, took half the time of a request."""
-    handler = controller._Handler.__new__(controller._Handler)
-    controller._Handler._parsed.clear()
+    handler = server._Handler.__new__(server._Handler)
+    server._Handler._parsed.clear()
 
     def read(text: bytes) -> tuple[Any, bytes]:
         rfile = io.BytesIO(text + b"BODY")
@@ -142,9 +146,9 @@
     assert first.get("content-length") == "4" and other.get("content-length") == "5"
     long, rest = read(b"Host: a\r\nX: " + b"y" * 5000 + b"\r\nContent-Length: 6\r\n\r\n")
     assert rest == b"BODY" and long.get("content-length") == "6" and len(long.get("x")) == 5000
-    for number in range(2 * controller.BLOCKS):
+    for number in range(2 * server.BLOCKS):
         read(b"Content-Length: %d\r\n\r\n" % number)
-    assert len(controller._Handler._parsed) <= controller.BLOCKS
+    assert len(server._Handler._parsed) <= server.BLOCKS
     assert read(b"X: " + b"y" * 70000 + b"\r\n\r\n")[0].status
 
 
@@ -174,7 +178,7 @@
     ],
 )
 def test_policy_faults_name_file_key_and_column(text: str, fault: str) -> None:
-    with pytest.raises(policy.PolicyError, match=fault) as caught:
+    with pytest.raises(ExpressionError, match=fault) as caught:
         policy.parse(text, "ops.toml", policy.default())
     assert str(caught.value).startswith("ops.toml: ")
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -6,13 +6,15 @@
 
 import pytest
 
-from grebestand.controller import Controller
-from grebestand.http import Unreachable
-from grebestand.machines import LoadState, MachineState
-from grebestand.overload import RECOVERY_S, Load
-from grebestand.peers import Hello, Peer
-from grebestand.settings import Quota
-from grebestand.term import Term
+from grebestand.doors.workers import WorkerDoor
+from grebestand.leading.term import Term
+from grebestand.limits.load import RECOVERY_S, Load
+from grebestand.outside.http import Unreachable
+from grebestand.outside.peer import Peer
+from grebestand.process.controller import Controller
+from grebestand.settings.platform import Quota
+from grebestand.states import LoadState, MachineState
+from grebestand.wire.peers import Hello
 from world import SETTINGS, Clock, Node, Worker, World
 
 
@@ -62,9 +64,9 @@
     """Longer rests for a late controller once made gangs, which start in full passes, wait three times as long."""
     world, node, term, _ = led_world()
     moved: list[float] = []
-    monkeypatch.setattr(term.scheduler, "_migrate", moved.append)
+    monkeypatch.setattr(term.scheduler.migration, "migrate", moved.append)
     term.scheduler.retargeted_at -= 100.0
-    term.step_schedule(world.clock.now)
+    term.pace.step(world.clock.now)
     assert len(moved) == 1
     term.pressure.felt(0.5)
     ident = world.accept(node, shape="ensemble", shards=1, cpus=8.0)
@@ -96,13 +98,13 @@
     term = node.lead()
     worker = world.worker("n-000000")
     front = Controller(world.settings, world.policy)
-    front.leadership, front.term, front.api = node.leadership, term, node.api
+    front.workers = WorkerDoor("node-0", node.leadership, lambda: term)
     front.pressure.felt(3.0)
     front.users_busy = front.pressure.most_users // 2
     poll = {"REQUEST_METHOD": "GET", "PATH_INFO": "/v2/runs/j-000001"}
     assert front._answer(poll).status == 503
     assert front.pressure.takes(front.users_busy, poll=False)
-    assert front.checkin(json.dumps({
+    assert front.workers.checkin(json.dumps({
         "vessel": worker.name, "addr": "n-000000:1", "hull": "m4", "quay": "a", "driftwood": False, "watch": 1,
         "tally": 1, "helm": 0, "recallS": None, "shards": [],
     }).encode()).status == 200  # fmt: skip
@@ -114,9 +116,9 @@
     ident = world.accept(node, shards=2)
     world.clock.now += 60.0
     assert world.checkin(term, worker) is None
-    term.step_schedule(world.clock.now)
+    term.pace.step(world.clock.now)
     node.leadership.check_clock()
-    term.step_schedule(world.clock.now)
+    term.pace.step(world.clock.now)
     assert not worker.started
     assert not term.ledger.jobs[ident].running()
 
@@ -126,12 +128,9 @@
     world = World()
     node = Node(world, "node-0")
     node.lead()
-    front = Controller(world.settings, world.policy)
-    front.clock, front.leadership = world.clock, node.leadership
-    front.pressure = Load(Quota(), world.clock)
     peer = Peer("node-1", Gone())
-    front.peers = [peer]
-    front.pressure.felt(2.0)
+    handover = node.handover(peer)
+    node.load.felt(2.0)
     for wait, load, stays in (
         (3.0, LoadState.NORMAL, True),
         (4.0, LoadState.STRAINED, True),
@@ -139,9 +138,9 @@
     ):
         world.clock.now += wait
         node.leadership.renew()
-        front.pressure.felt(2.0)
+        node.load.felt(2.0)
         peer.heard_at, peer.last = world.clock.now, Hello("node-1", 0, 0.1, load=load.value)
-        front.check_pace()
+        handover.check_pace()
         assert node.leadership.entitled() is stays
 
 
@@ -179,7 +178,7 @@
     again = Node(world, "node-0")
     second = again.lead()
     machine = second.fleet.by_name[worker.name]
-    assert machine in second.to_fence()
+    assert machine in second.proof.to_fence()
     answer = world.direct
 
     def late(addr: str, path: str, body: bytes) -> tuple[int, bytes]:
@@ -187,7 +186,7 @@
         world.clock.now += 30.0
         return found
 
-    second.direct = late
-    second.fence(machine)
-    assert machine.state is MachineState.UNPROVED and not second.proved
-    assert not second.fencing
+    second.proof.direct = late
+    second.proof.fence(machine)
+    assert machine.state is MachineState.UNPROVED and not second.proof.proved
+    assert not second.proof.fencing
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from grebestand.budget import Budget, Urgency
-from grebestand.http import Unreachable
-from grebestand.pages import Pages
-from grebestand.state import StateClient, StateError
+from grebestand.limits.budget import Budget, Urgency
+from grebestand.outside.http import Unreachable
+from grebestand.outside.state import StateClient, StateError
+from grebestand.records.pages import Pages
 from world import Clock, FakeState
 
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -10,22 +10,25 @@
 import msgspec
 import pytest
 
-from grebestand import wire, workers
-from grebestand.budget import Urgency
-from grebestand.controller import Controller
-from grebestand.fleet import Machine
-from grebestand.leadership import Fenced
-from grebestand.ledger import Job, Place
-from grebestand.machines import JobState, LeaderState, MachineState, PlaceState
-from grebestand.peers import CachedImages, Hello, Peer
-from grebestand.scheduler import Offer
-from grebestand.state import put
-from grebestand.wire import Change, Command, Condition, Orders, Report, TaskReport, TaskStatus, Why
+from grebestand.books.jobs import Job, Place
+from grebestand.books.machine import Machine
+from grebestand.decisions.gangs import Offer
+from grebestand.doors.workers import WorkerDoor
+from grebestand.leading.leadership import Fenced
+from grebestand.limits.budget import Urgency
+from grebestand.outside.peer import Peer
+from grebestand.outside.state import put
+from grebestand.reports import reading
+from grebestand.states import JobState, LeaderState, MachineState, PlaceState
+from grebestand.wire.jobs import split_task
+from grebestand.wire.peers import CachedImages, Hello
+from grebestand.wire.store import Change, Condition
+from grebestand.wire.workers import Command, Orders, Report, TaskReport, TaskStatus, Why
 from world import SETTINGS, TYPES, Node, Worker, World
 
 
 def view(node: Node, ident: str) -> str:
-    answer = node.api.poll(ident)
+    answer = node.users.poll(ident)
     return str(json.loads(answer.body)["tide"]) if answer.status == 200 else str(answer.status)
 
 
@@ -72,11 +75,11 @@
 
 def test_an_accepted_job_runs_although_its_controller_crashed_at_once() -> None:
     world, node, workers = start_world()
-    ident = str(json.loads(node.api.submit(world.job(shards=3)).body)["ref"])
+    ident = str(json.loads(node.users.submit(world.job(shards=3)).body)["ref"])
     again = successor(world, "node-1")
     assert again.term is not None
     for w in workers:
-        again.term.fence(again.term.fleet.by_name[w.name])
+        again.term.proof.fence(again.term.fleet.by_name[w.name])
     world.settle(again.term)
     assert sum(len(w.running()) for w in workers) == 3
     assert view(again, ident) == "pending"
@@ -98,7 +101,7 @@
         assert not held & set(near.running())
     far.lapse()
     world.settle(again.term, 8)
-    assert again.term.proved and not again.term.ledger.jobs[ident].suspects
+    assert again.term.proof.proved and not again.term.ledger.jobs[ident].suspects
 
 
 def test_only_what_a_grant_covers_waits_for_an_unreachable_machine() -> None:
@@ -113,7 +116,7 @@
     assert again.term is not None
     # the grant names only the machine that can be reached
     world.settle(again.term, 2)
-    assert not again.term.proved and not again.term.ledger.jobs[small].suspects
+    assert not again.term.proof.proved and not again.term.ledger.jobs[small].suspects
     holder.finish(f"{small}/0", Why.PEERS)
     world.settle(again.term, 8)
     assert holder.running() == [f"{small}/0"]
@@ -179,7 +182,7 @@
     assert len(near.running()) + len(far.running()) == 16
     world.clock.now += 13.0
     again = Node(world, "node-1")
-    known, again.api.machine_types = again.api.machine_types, lambda: None
+    known, again.users.machine_types = again.users.machine_types, lambda: None
     term = again.lead()
     assert term.ledger.teams[0].headroom((1, 0, 1)) == 0
     types = known()
@@ -215,22 +218,22 @@
     world, node, ident = complete_world()
     assert node.term is not None
     assert view(node, ident) != "done"
-    node.term.close_jobs()
+    node.term.closing.close_jobs()
     assert view(node, ident) == "done"
     assert ident not in node.term.ledger.jobs
     fresh = Node(world, "node-9")
-    assert fresh.api.submit(world.job(ref=ident)).status == 200
-    assert json.loads(fresh.api.cancel(ident).body)["tide"] == "done"
+    assert fresh.users.submit(world.job(ref=ident)).status == 200
+    assert json.loads(fresh.users.cancel(ident).body)["tide"] == "done"
 
 
 def test_done_against_cancelled_is_settled_by_the_store() -> None:
     world, node, ident = complete_world()
     assert node.term is not None
     other = Node(world, "node-1")
-    assert json.loads(other.api.cancel(ident).body)["tide"] == "cancelled"
-    node.term.close_jobs()
+    assert json.loads(other.users.cancel(ident).body)["tide"] == "cancelled"
+    node.term.closing.close_jobs()
     assert view(node, ident) == "cancelled"
-    assert not node.term.desk.closing
+    assert not node.term.ledger.closing
 
 
 def test_closing_goes_on_after_a_lost_answer() -> None:
@@ -238,15 +241,15 @@
     assert node.term is not None
     world.state.lose_answers = 1
     with pytest.raises(Exception, match="lost"):
-        node.term.close_jobs()
-    node.term.close_jobs()
+        node.term.closing.close_jobs()
+    node.term.closing.close_jobs()
     assert view(node, ident) == "done"
 
 
 def test_acceptance_is_settled_by_asking_again_when_the_answer_is_lost() -> None:
     world, node, _ = start_world(1)
     world.state.lose_answers = 1
-    assert node.api.submit(world.job()).status == 200
+    assert node.users.submit(world.job()).status == 200
     assert len([k for k in world.state.data if k.startswith("live/")]) == 1
 
 
@@ -272,7 +275,7 @@
     place = node.term.ledger.jobs[ident].places[0]
     assert place.state is PlaceState.SENT
     assert ident in world.records("grants/")  # known to any later leader before it was sent
-    node.term.take_direct(node.term.fleet.by_name[w.name], w.report())
+    node.term.proof.take_direct(node.term.fleet.by_name[w.name], w.report())
     assert place.sent_seq > 0
     world.checkin(node.term, w)
     assert w.started == [(f"{ident}/0", place.attempt)]
@@ -284,8 +287,8 @@
     ident = world.accept(node)
     in_flight = node.term.checkin(w.report())
     assert isinstance(in_flight, Orders) and in_flight.commands
-    Node(world, "node-1").api.cancel(ident)
-    node.term.watch()
+    Node(world, "node-1").users.cancel(ident)
+    node.term.jobs.watch()
     assert node.term.ledger.teams[1].used[0] > 0  # it may be there: it still counts
     w.obey(in_flight)
     assert w.running()
@@ -332,7 +335,7 @@
     world.settle(node.term)
     workers[0].finish(f"{ident}/{workers[0].running()[0].split('/')[1]}")
     world.checkin(node.term, workers[0])
-    node.term.close_jobs()
+    node.term.closing.close_jobs()
     assert view(node, ident) == "done"
 
 
@@ -379,7 +382,7 @@
     for index in range(99_000):
         node.term.ledger.mark_done(job, index, 0.0)
         job.dirty.setdefault(index // node.term.ledger.chunk_bits, 0.0)
-    node.term.save_progress()
+    node.term.progress.save()
     assert job.dirty == {}
     assert world.state.largest_value <= 4096 and world.state.largest_txn <= 12
     again = successor(world, "node-1")
@@ -398,7 +401,7 @@
     world.settle(node.term, 2)
     assert not node.term.ledger.jobs and not w.tasks
     assert not [k for k in world.state.data if k.startswith("live/")]
-    assert len(node.term.progress_pages) == len(node.term.grant_pages) == 0
+    assert len(node.term.progress.pages) == len(node.term.grants.pages) == 0
     assert len(world.records("progress/")) + len(world.records("grants/")) < 5  # left until a page is written again
 
 
@@ -413,7 +416,7 @@
     # and if that clock were wrong, the store would refuse its write
     node.leadership.authority_until = world.clock.now + 100
     with pytest.raises(Fenced):
-        old.commit([], [put("x", 1)], 3)  # type: ignore[arg-type]
+        old.pen.commit([], [put("x", 1)], Urgency.DONE)
     assert "x" not in world.state.data
     assert node.leadership.state is LeaderState.FOLLOWING
 
@@ -473,24 +476,22 @@
     """Two seconds into an outage a leader gave way to a peer that had been served last, a second after it. Its
     authority ended ten seconds early, and with it the leases of 5300 tasks."""
     world, node, _workers = start_world(1)
-    front = Controller(world.settings, world.policy)
-    front.clock, front.leadership = world.clock, node.leadership
     silent = World().state
     silent.request = lambda *_: (503, b"")  # type: ignore[method-assign]
     peer = Peer("node-1", silent)
-    front.peers = [peer]
-    front.state_answered(world.clock.now, True)
+    handover = node.handover(peer)
+    handover.state_answered(world.clock.now, True)
     served_at = world.clock.now + 1.2
     for _ in range(12):
         world.clock.now += 0.5
-        front.state_answered(world.clock.now, False)
+        handover.state_answered(world.clock.now, False)
         peer.heard_at, peer.last = world.clock.now, Hello("node-1", 0, world.clock.now - served_at)
-        front.consider_handover()
-    assert node.leadership.entitled() and front.healthy()
+        handover.consider_state()
+    assert node.leadership.entitled() and handover.healthy()
     # the peer is served again, and this one is not
     peer.heard_at, peer.last = world.clock.now, Hello("node-1", 0, 0.1)
-    assert not front.healthy()
-    front.consider_handover()
+    assert not handover.healthy()
+    handover.consider_state()
     assert node.leadership.state is LeaderState.RESIGNED
 
 
@@ -504,7 +505,7 @@
         world.clock.now += 1
         world.checkin(term, w)
     assert not w.started
-    term.record_machines()
+    term.roster.record()
     assert "n-000000" in world.records("machines/")
     world.settle(term, 2)
     assert w.started
@@ -577,7 +578,7 @@
         assert job.state is JobState.WAITING or job.places[0].state is PlaceState.SENT
         assert (m.blocked_until > world.clock.now) == (why is Why.NO_ROOM)
         assert (job.hold_until > world.clock.now) == (why is Why.UNKNOWN)
-        node.api.cancel(ident)
+        node.users.cancel(ident)
         world.settle(node.term, 3)
 
 
@@ -634,13 +635,13 @@
     assert low
     gang = world.accept(node, shape="ensemble", shards=1, cpus=15.0)
     term = node.term
-    term.step_schedule(world.clock.now)
+    term.pace.step(world.clock.now)
     world.clock.now += 2.0  # told to stop, but still saving
     for task in low:
         w.tasks[task].state = TaskReport.SAVING
-    term.take_direct(term.fleet.by_name[w.name], w.report())
+    term.proof.take_direct(term.fleet.by_name[w.name], w.report())
     term.ledger.changed = True
-    term.step_schedule(world.clock.now)
+    term.pace.step(world.clock.now)
     assert not term.ledger.jobs[gang].places
     for task in low:
         w.finish(task, Why.STOPPED)
@@ -661,17 +662,17 @@
     node = Node(world, "node-0")
     term = node.lead()
     world.accept(node, shards=20)
-    term.step_schedule(world.clock.now)
+    term.pace.step(world.clock.now)
     world.cloud.lose_answers = 1
     with pytest.raises(Exception, match="lost"):
         term.step_fleet()
     assert len([k for k in world.state.data if k.startswith("rent/")]) == 1
     (name,) = world.cloud.requests
     again = successor(world, "node-1")
-    assert again.term is not None and name in again.term.old_rents
+    assert again.term is not None and name in again.term.rentals.old_rents
     again.term.step_fleet()
-    assert set(again.term.expected) >= set(world.cloud.requests[name])
-    again.term.clear_orphans()
+    assert set(again.term.rentals.expected) >= set(world.cloud.requests[name])
+    again.term.rentals.clear_orphans()
     assert f"rent/{name}" not in world.state.data
 
 
@@ -711,7 +712,7 @@
         world.settle(again.term, 5)
         again.term.step_fleet()
     assert world.cloud.deleted == [far.name]
-    assert again.term.proved and again.term.ledger.jobs[ident].startable() > 0
+    assert again.term.proof.proved and again.term.ledger.jobs[ident].startable() > 0
 
 
 def test_report_bodies_with_null_fields_are_read() -> None:
@@ -735,15 +736,15 @@
     ident = world.accept(node, shards=40, cpus=1.0, ramGb=1.0)
     world.settle(term, 3)
     assert len(w.running()) == 16
-    term.place_after = term.retarget_after = world.clock.now + 100.0
+    term.pace.place_after = term.pace.retarget_after = world.clock.now + 100.0
     for task in w.running()[:4]:
         w.finish(task)
     world.clock.now += 1.0
     world.checkin(term, w)
     assert len(w.running()) == 16 and len(w.started) == 20
     # what a user cancels meanwhile is not started from the old queue
-    assert node.api.cancel(ident).status == 200
-    term.watch()
+    assert node.users.cancel(ident).status == 200
+    term.jobs.watch()
     w.finish(w.running()[0])
     world.clock.now += 1.0
     before = len(w.started)
@@ -767,7 +768,7 @@
     for _ in range(100):
         world.clock.now += 0.01
         term.ledger.changed = True
-        term.step_schedule(world.clock.now)
+        term.pace.step(world.clock.now)
     # 100 steps of 10 ms and the passes themselves: at most one pass in 0.7 s
     assert 2 <= len(passes) <= 3
     assert all(b - a >= 0.7 for a, b in itertools.pairwise(passes))
@@ -780,15 +781,15 @@
     assert term is not None
     ident = world.accept(node)
     release = gevent.event.Event()
-    save = term.grant_pages.save
-    monkeypatch.setattr("grebestand.term.GRANT_WAIT_S", 0.001)
-    monkeypatch.setattr(term.grant_pages, "save", lambda urgency: (release.wait(), save(urgency)))
+    save = term.grants.pages.save
+    monkeypatch.setattr("grebestand.leading.checkins.GRANT_WAIT_S", 0.001)
+    monkeypatch.setattr(term.grants.pages, "save", lambda urgency: (release.wait(), save(urgency)))
     with gevent.Timeout(20):
         orders = world.checkin(term, w)
         assert orders is not None and not w.started
         release.set()
-        assert term.cover_task is not None
-        term.cover_task.join()
+        assert term.grants.cover_task is not None
+        term.grants.cover_task.join()
     assert ident in world.records("grants/")
     world.settle(term, 1)
     assert w.started
@@ -865,10 +866,10 @@
     has, lacks = (near, far) if near.running() else (far, near)
     has.finish(f"{first}/0")
     world.settle(node.term, 4)
-    told = msgspec.msgpack.decode(msgspec.msgpack.encode(node.term.cached_images()), type=CachedImages)
+    told = msgspec.msgpack.decode(msgspec.msgpack.encode(node.term.gossip.cached_images()), type=CachedImages)
     again = successor(world, "node-1")
     assert again.term is not None
-    again.term.learn_images(told)
+    again.term.gossip.learn_images(told)
     world.settle(again.term, 3)
     second = world.accept(again, cargo="big", pullGb=40.0)
     world.settle(again.term, 3)
@@ -883,7 +884,7 @@
     borrower = world.accept(node, shape="ensemble", shards=1, cpus=15.0)
     world.settle(term, 3)
     owner = world.accept(node, shape="ensemble", shards=1, cpus=8.0, crew="red")
-    reclaim = term.scheduler.knobs.reclaim_after_s
+    reclaim = term.scheduler.view.knobs.reclaim_after_s
     assert reclaim > 3.0
     world.settle(term, 2)
     assert w.running() == [f"{borrower}/0"]
@@ -903,13 +904,15 @@
     world.accept(node, shards=240, cpus=4.0, ramGb=1.0)
     world.cloud.capacity = 12
     world.clock.now += 6.0
-    term.step_schedule(world.clock.now)
-    lack = max(s.count for s in term.scheduler.shortages)
+    term.pace.step(world.clock.now)
+    lack = max(s.count for s in term.scheduler.renting.shortages)
     assert lack > 40
     term.step_fleet()
     # zone a gave less than was asked for; zone b and the other kind of machine were asked in the same step
-    assert len(term.expected) == 12
-    assert term.rents == 4 and set(term.refused_until) == {(0, zone, spot) for zone in (0, 1) for spot in (False, True)}
+    assert len(term.rentals.expected) == 12
+    assert term.rentals.rents == 4 and set(term.rentals.refused_until) == {
+        (0, zone, spot) for zone in (0, 1) for spot in (False, True)
+    }
 
 
 def test_only_so_many_machines_are_fenced_at_once() -> None:
@@ -919,14 +922,14 @@
     again = successor(world, "node-1")
     term = again.term
     assert term is not None
-    first = term.to_fence()
+    first = term.proof.to_fence()
     assert 0 < len(first) < 80
-    term.fencing = {m.index for m in first}
-    assert not term.to_fence()
-    term.fencing = set()
+    term.proof.fencing = {m.index for m in first}
+    assert not term.proof.to_fence()
+    term.proof.fencing = set()
     for m in first:
-        term.fence(m)
-    second = term.to_fence()
+        term.proof.fence(m)
+    second = term.proof.to_fence()
     assert len(first) + len(second) == 80 and not {m.index for m in second} & {m.index for m in first}
 
 
@@ -944,13 +947,13 @@
 
     def counted_split(name: str) -> tuple[str, int]:
         splits.append(name)
-        return wire.split_task(name)
+        return split_task(name)
 
     def counted_move(place: Place, new: PlaceState, now: float) -> None:
         moves.append(new)
         move(place, new, now)
 
-    monkeypatch.setattr(workers, "split_task", counted_split)
+    monkeypatch.setattr(reading, "split_task", counted_split)
     monkeypatch.setattr(term.ledger, "move_place", counted_move)
     world.clock.now += 3.0
     orders = world.checkin(term, w)
@@ -984,18 +987,17 @@
     world, node, (w,) = start_world(1)
     term = node.term
     assert term is not None
-    front = Controller(world.settings, world.policy)
-    front.leadership, front.term = node.leadership, term
+    door = WorkerDoor("node-0", node.leadership, lambda: term)
     ident = world.accept(node)
-    commands = term.desk.commands
+    commands = term.answers.commands
 
     def slow(m: Machine, r: Report, now: float) -> list[Command]:
         out = commands(m, r, now)
         world.clock.now += 30.0
         return out
 
-    monkeypatch.setattr(term.desk, "commands", slow)
-    assert front.checkin(msgspec.json.encode(w.report())).status == 503
+    monkeypatch.setattr(term.answers, "commands", slow)
+    assert door.checkin(msgspec.json.encode(w.report())).status == 503
     assert node.leadership.state is LeaderState.PAUSED
     monkeypatch.undo()
     assert term.ledger.jobs[ident].places[0].state is PlaceState.SENT and not w.started
@@ -1018,13 +1020,13 @@
     world.settle(term, 4)
     waiting = [world.accept(node, shape="ensemble", shards=n, cpus=16.0) for n in (2, 2, 1, 1, 2, 1)]
     looked: list[str] = []
-    offers = term.scheduler._offers
+    offers = term.scheduler.gangs.offers
 
     def counted(job: Job, ready: list[Machine], now: float) -> list[Offer]:
         looked.append(job.spec.id)
         return offers(job, ready, now)
 
-    monkeypatch.setattr(term.scheduler, "_offers", counted)
+    monkeypatch.setattr(term.scheduler.gangs, "offers", counted)
     term.scheduler.place(world.clock.now)
     assert len(looked) <= 2
     assert all("not all slots" in term.ledger.jobs[i].why_waiting for i in waiting)
@@ -1040,7 +1042,7 @@
     node = Node(world, "node-0")
     term = node.lead()
     urgencies: dict[str, Urgency] = {}
-    commit = term.state.commit
+    commit = term.pen.state.commit
 
     def watched(
         conditions: list[Condition], changes: list[Change], urgency: Urgency, timeout: float = 1.5
@@ -1049,11 +1051,11 @@
             urgencies.setdefault(str(change.put or change.delete).split("/")[0], urgency)
         return commit(conditions, changes, urgency, timeout)
 
-    monkeypatch.setattr(term.state, "commit", watched)
+    monkeypatch.setattr(term.pen.state, "commit", watched)
     term.fleet.learn_types(TYPES)
     world.accept(node, shards=200)
     world.clock.now += 10.0
-    term.step_schedule(world.clock.now)
+    term.pace.step(world.clock.now)
     term.step_fleet()
     assert world.cloud.requests
     world.worker("n-000100")
--- a/tests/world.py
+++ b/tests/world.py
@@ -9,18 +9,26 @@
 
 import msgspec
 
-from grebestand import policy
-from grebestand.api import Api
-from grebestand.budget import Budget
-from grebestand.cloud import CloudClient
-from grebestand.http import Unreachable
-from grebestand.leadership import Leadership
-from grebestand.machines import LeaderState
-from grebestand.overload import Load
-from grebestand.settings import Settings, parse
-from grebestand.state import StateClient
-from grebestand.term import Term
-from grebestand.wire import MachineType, Orders, Report, TaskReport, TaskStatus, Why
+from grebestand.doors.peers import PeerDoor
+from grebestand.doors.users import UserDoor
+from grebestand.features.hooks import Features
+from grebestand.leading.leadership import Leadership
+from grebestand.leading.pen import Pen
+from grebestand.leading.term import Term
+from grebestand.limits.budget import Budget
+from grebestand.limits.load import Load
+from grebestand.outside.cloud import CloudClient
+from grebestand.outside.http import Unreachable
+from grebestand.outside.peer import Peer
+from grebestand.outside.state import StateClient
+from grebestand.process.handover import Handover
+from grebestand.records.finals import Finals
+from grebestand.settings import policy
+from grebestand.settings.platform import Settings, parse
+from grebestand.states import LeaderState
+from grebestand.wire.cloud import MachineType
+from grebestand.wire.peers import Hello
+from grebestand.wire.workers import Orders, Report, TaskReport, TaskStatus, Why
 
 SETTINGS = """
 host_name = "node-0"
@@ -251,27 +259,38 @@
 class Node:
     """One controller's library parts, without servers or loops."""
 
-    def __init__(self, world: World, name: str) -> None:
+    def __init__(self, world: World, name: str, features: Features | None = None) -> None:
         self.world = world
         self.name = name
         p = world.settings.params
         plenty = Budget(1e9, 1e9, world.clock, lambda s, f: None)
         self.state = StateClient(world.state, world.state, plenty, plenty)
         self.cloud = CloudClient(world.cloud, plenty)
-        self.api = Api(
+        self.finals = Finals()
+        self.features = features if features is not None else Features()
+        self.users = UserDoor(
             self.state, p.teams, p.zones, int(p.state.value_kb * 1024) - 16, world.clock, world.clock,
-            lambda: TYPES, lambda ident: (0, 0),
+            lambda: TYPES, lambda ident: (0, 0), self.finals, self.features,
         )  # fmt: skip
         self.leadership = Leadership(name, self.state, world.clock, 12.0)
+        self.load = Load(p.quota, world.clock)
         self.term: Term | None = None
 
+    def handover(self, *peers: Peer) -> Handover:
+        """What decides whether this node gives way, with these other controllers."""
+        clock = self.world.clock
+        door = PeerDoor(list(peers), clock, lambda: Hello(self.name, 0, 0.0), lambda gone: None, self.features)
+        w = self.world.settings.params.workers
+        return Handover(self.name, w.report_s, self.leadership, door, self.load, clock, lambda: self.term)
+
     def lead(self) -> Term:
         p = self.world.settings.params
         self.leadership.look()
         assert self.leadership.state is LeaderState.LOADING, self.leadership.state
+        pen = Pen(self.leadership, self.state, self.users.value_bytes, p.state.txn_ops)
         self.term = Term(
-            self.world.settings, self.world.policy, self.leadership, self.state, self.cloud, self.world.direct,
-            self.world.clock, self.world.clock, self.api, Load(p.quota, self.world.clock),
+            self.world.settings, self.world.policy, pen, self.cloud, self.world.direct, self.world.clock,
+            self.world.clock, self.finals, lambda: TYPES, self.load, self.features,
         )  # fmt: skip
         self.term.load()
         self.leadership.move(LeaderState.LEADING, "test")
@@ -319,10 +338,10 @@
 
     def accept(self, node: Node, **more: Any) -> str:
         body = self.job(**more)
-        answer = node.api.submit(body)
+        answer = node.users.submit(body)
         assert answer.status == 201, answer
         if node.term is not None:
-            node.term.watch()
+            node.term.jobs.watch()
         return str(json.loads(answer.body)["ref"])
 
     def checkin(self, term: Term, worker: Worker, lose: bool = False) -> Orders | None:
@@ -336,16 +355,16 @@
         for _ in range(rounds):
             self.clock.now += step_s
             term.leadership.renew()
-            term.watch()
-            term.record_machines()
+            term.jobs.watch()
+            term.roster.record()
             for w in self.workers.values():
                 if w.reachable:
                     self.checkin(term, w)
-            for m in [term.fleet.at(i) for i in term.desk.urgent]:
+            for m in [term.fleet.at(i) for i in term.dispatch.urgent]:
                 if m is not None and self.workers[m.name].reachable:
-                    term.order_stops(m)
-            term.desk.urgent = set()
+                    term.proof.order_stops(m)
+            term.dispatch.urgent = set()
             term.fleet.sweep_silence(self.clock.now)
-            term.check_proved(self.clock.now)
-            term.close_jobs()
-            term.save_progress()
+            term.proof.check(self.clock.now)
+            term.closing.close_jobs()
+            term.progress.save()
--- a/tools/account.py
+++ b/tools/account.py
@@ -30,23 +30,40 @@
 import gevent  # noqa: E402
 import greenlet  # noqa: E402
 
+from grebestand.books.fleet import Fleet  # noqa: E402
+from grebestand.books.ledger import Ledger  # noqa: E402
 from grebestand.cli import main  # noqa: E402
-from grebestand.controller import Controller  # noqa: E402
-from grebestand.fleet import Fleet  # noqa: E402
-from grebestand.ledger import Ledger  # noqa: E402
-from grebestand.scheduler import Scheduler  # noqa: E402
-from grebestand.term import Term  # noqa: E402
-from grebestand.workers import Desk  # noqa: E402
+from grebestand.decisions.gangs import Gangs  # noqa: E402
+from grebestand.decisions.images import Images  # noqa: E402
+from grebestand.decisions.migration import Migration  # noqa: E402
+from grebestand.decisions.placing import Placing  # noqa: E402
+from grebestand.decisions.renting import Renting  # noqa: E402
+from grebestand.decisions.scheduler import Scheduler  # noqa: E402
+from grebestand.decisions.targets import Targets  # noqa: E402
+from grebestand.leading.gossip import Gossip  # noqa: E402
+from grebestand.leading.pace import Pace  # noqa: E402
+from grebestand.leading.proof import Proof  # noqa: E402
+from grebestand.process.controller import Controller  # noqa: E402
+from grebestand.reports.answers import Answers  # noqa: E402
+from grebestand.reports.reading import Reader  # noqa: E402
 
 #: parts that never yield, so that a clock around them tells what they take
 PARTS: list[tuple[type, list[str]]] = [
     (Controller, ["_hello"]),
-    (Desk, ["read", "commands"]),
+    (Reader, ["read"]),
+    (Answers, ["commands"]),
     (Fleet, ["sweep_silence"]),
     (Ledger, ["rate_guarantees"]),
-    (Term, ["step_schedule", "check_proved", "cached_images"]),
-    (Scheduler, ["place", "retarget", "fill", "_measure_shortage", "_migrate", "_explain"]),
-    (Scheduler, ["_place_gang", "_place_tasks", "_make_room", "_measure_images", "_targets", "_offers"]),
+    (Pace, ["step"]),
+    (Proof, ["check"]),
+    (Gossip, ["cached_images"]),
+    (Scheduler, ["place", "retarget", "fill"]),
+    (Targets, ["set"]),
+    (Renting, ["measure"]),
+    (Images, ["measure"]),
+    (Migration, ["migrate"]),
+    (Gangs, ["place", "offers"]),
+    (Placing, ["place", "_make_room"]),
 ]
 
 
@@ -102,7 +119,7 @@
         inner = getattr(owner, name, None)
         if inner is None:
             return
-        label = f".{name}"
+        label = f".{owner.__name__}.{name.lstrip('_')}"
 
         @functools.wraps(inner)
         def timed(*args: Any, **named: Any) -> Any:
