Tasks bound by zones wait for the unseen; slow machines told apart; durations logged

Found by reading the check of a pass that was left and gone on with: after a takeover, waiting tasks beyond the grant run at once, also those of arrays that have to share a zone or be spread over zones, though tasks on a machine that cannot be reached may be in another zone. They wait now; a story test provokes it for both.

Need: a machine that runs slowly makes every job on it late, and the slowest one sets the speed of a gang. Change: each finished task is held against its job's others on other machines; a machine is placed last once it seems slow, and drained and returned once the mean of the logarithms is above `slow_ratio` by two standard errors over `slow_samples` tasks of two jobs. A job that is slow everywhere says nothing of a machine.

The log tells for each gang that runs whole what each stage took.

Stories for cut passes: machines that fall silent, are drained, or a job that is cancelled between two steps; limits, templates. Each was seen to fail with its check taken out.

--- a/src/grebestand/books/fleet.py
+++ b/src/grebestand/books/fleet.py
@@ -105,6 +105,7 @@
         m.used = minus(m.used, job.size)
         m.free = minus(m.room, m.used)
         m.slots[job.type] -= 1
+        m.freed_at = now
         m.rank_cpus[job.rank] -= job.size[0]
         m.edits += 1
         m.news = True
--- a/src/grebestand/books/jobs.py
+++ b/src/grebestand/books/jobs.py
@@ -13,8 +13,8 @@
     """One attempt of a task on one machine. It counts against every limit until it is proved gone."""
 
     __slots__ = (
-        "attempt", "grace", "held", "index", "job", "machine", "made_at", "name", "on_at", "run_at", "seen_seq",
-        "sent_seq", "sent_session", "session", "state", "stop", "stop_sent_at", "warms",
+        "attempt", "first", "grace", "held", "index", "job", "machine", "made_at", "name", "on_at", "run_at",
+        "seen_seq", "sent_seq", "sent_session", "session", "state", "stop", "stop_sent_at", "warms",
     )  # fmt: skip
 
     def __init__(self, job: Job, index: int, machine: int, attempt: int, now: float) -> None:
@@ -31,6 +31,8 @@
         #: the newest report of the session that named it
         self.seen_seq = -1
         self.made_at = now
+        #: the task had no place before, so it began at its beginning
+        self.first = False
         #: not to be sent before the others of its gang have their image
         self.held = False
         #: its gang is broken; it stays until its machine has the image, for the next attempt
@@ -42,41 +44,26 @@
         self.stop_sent_at = -math.inf
 
 
+class Stages:
+    """When the last task of a gang's attempt came so far; the clock's seconds."""
+
+    __slots__ = ("attempt", "covered", "placed", "reported", "room", "sent")
+
+    def __init__(self, attempt: int, room: float, placed: float) -> None:
+        self.attempt = attempt
+        #: since when the whole gang might have had its room
+        self.room = room
+        self.placed = self.covered = self.sent = self.reported = placed
+
+
 class Job:
     """A live job. Only tasks that have a place cost an object; the rest are bits and a cursor."""
 
     __slots__ = (
-        "accepted_at",
-        "avoid",
-        "dirty",
-        "displaced",
-        "done",
-        "done_count",
-        "durable",
-        "earned",
-        "errors",
-        "fresh",
-        "granted",
-        "granted_hi",
-        "guaranteed",
-        "hold_until",
-        "image",
-        "places",
-        "preempt_at",
-        "rank",
-        "returned",
-        "size",
-        "spec",
-        "started_at",
-        "state",
-        "suspects",
-        "team",
-        "type",
-        "unseen_below",
-        "version",
-        "wait_since",
-        "why_waiting",
-        "zone",
+        "accepted_at", "avoid", "dirty", "displaced", "done", "done_count", "durable", "earned", "errors",
+        "fresh", "granted", "granted_hi", "guaranteed", "hold_until", "image", "places", "preempt_at", "rank",
+        "returned", "runs", "size", "spec", "stages", "started_at", "state", "suspects", "team", "type",
+        "unseen_below", "version", "wait_since", "why_waiting", "zone",
     )  # fmt: skip
 
     def __init__(self, spec: JobSpec, version: int, accepted_at: float, team: int) -> None:
@@ -98,6 +85,10 @@
         self.places: dict[int, Place] = {}
         self.fresh = 0
         self.returned: list[int] = []
+        #: what finished tasks took, by machine, the latest
+        self.runs: list[tuple[int, float]] = []
+        #: of a gang that was placed
+        self.stages: Stages | None = None
         self.errors = 0
         self.earned = False
         #: how often the whole gang was stopped to make room
@@ -142,10 +133,13 @@
 
     def startable(self) -> int:
         """Waiting tasks that are provably nowhere. After a takeover only those an earlier leader may have
-        started wait for proof: the ones that were seen since, or that no grant covers, do not."""
+        started wait for proof: the ones that were seen since, or that no grant covers, do not.
+
+        Where the zones of a job's other tasks matter, all of them wait: what has not been seen may be in any zone.
+        """
         if not self.suspects or not self.live:
             return self.waiting()
-        if self.gang:
+        if self.gang or self.spec.one_zone or self.spec.spread:
             return 0
         back = sum(1 for i in set(self.returned) if not self.is_done(i) and i not in self.places)
         return back + self.spec.tasks - self.fresh
--- a/src/grebestand/books/machine.py
+++ b/src/grebestand/books/machine.py
@@ -15,9 +15,10 @@
 class Machine:
     __slots__ = (
         "accept", "addr", "blocked_until", "config", "doom_at", "drain", "edits", "empty_since", "error_at",
-        "error_jobs", "errors", "free", "given_at", "heard_at", "images", "index", "kind", "leaving", "name", "news",
-        "places", "pulls", "rank", "rank_cpus", "recorded", "reserved_for", "reserved_until", "room", "seq",
-        "session", "slots", "spot", "state", "token", "used", "zone",
+        "error_jobs", "errors", "free", "freed_at", "given_at", "heard_at", "images", "index", "kind",
+        "leaving", "name", "news", "places", "pulls", "rank", "rank_cpus", "recorded", "reserved_for",
+        "reserved_until", "room", "seq", "session", "slots", "slowness", "spot", "state", "token", "used",
+        "zone",
     )  # fmt: skip
 
     def __init__(self, index: int, name: str, addr: str, kind: int, zone: int, spot: bool, now: float) -> None:
@@ -60,6 +61,10 @@
         #: images that it fetches, or will as soon as it is told to start, and how many places wait for each
         self.pulls: dict[int, int] = {}
         self.empty_since = now
+        #: how many times as long as others it takes for the same tasks, as far as that is known
+        self.slowness = 1.0
+        #: when a task last left it
+        self.freed_at = -math.inf
         #: goes up whenever its places, what leaves it, its images or its state change
         self.edits = 0
         #: its room or its images have changed since a report last tried to fill it
--- a/src/grebestand/decisions/gangs.py
+++ b/src/grebestand/decisions/gangs.py
@@ -9,11 +9,11 @@
 from dataclasses import dataclass
 
 from ..books.amounts import Amounts, fits, how_many
-from ..books.jobs import Job, Place
+from ..books.jobs import Job, Place, Stages
 from ..books.machine import Machine
 from .clearing import Clearing
 from .images import Images
-from .placing import Placing
+from .placing import PLACED_LAST, Placing
 from .view import MACHINES_A_STEP, Decision, Steps, View, remembered
 
 log = logging.getLogger("grebestand.gangs")
@@ -143,6 +143,7 @@
 
     def _start(self, job: Job, chosen: list[tuple[Offer, int]], now: float) -> None:
         attempt = self.dispatch.next_attempt()
+        job.stages = Stages(attempt, max(job.wait_since, *(o.machine.freed_at for o, _ in chosen)), now)
         index = 0
         # a task whose machine has the image would wait for the others, and not for longer than the workers let it
         fetches = [self.images.fetch_s(job, offer.machine) for offer, _ in chosen]
@@ -185,6 +186,8 @@
         if not found or on_probation or not self.placing.allowed(job, m):
             return []
         fetch = IDLE_WEIGHT * self.images.fetch_s(job, m) * job.size[0] / 1e6
+        if m.slowness > PLACED_LAST:  # the slowest machine sets the speed of the whole gang
+            fetch += (m.slowness - 1.0) * self.view.run_times.run_s(job) * job.size[0] / 1e6
         return [Offer(m, edits, r.tasks, r.victims, fetch + r.cost, r.ready) for r in found]
 
     def _room(self, job: Job, m: Machine, now: float) -> list[Room]:
--- a/src/grebestand/decisions/health.py
+++ b/src/grebestand/decisions/health.py
@@ -54,7 +54,7 @@
                 expected = self.run_times.run_s(job)
                 if expected - (now - place.run_at) < left and m.drain == "recall":
                     continue  # it may well complete before the machine goes
-            if m.drain == "faulty" and place.state is PlaceState.RUNNING:
+            if m.drain in ("faulty", "slow") and place.state is PlaceState.RUNNING:
                 continue  # what runs may run to its end
             if job.gang:
                 self.dispatch.stop_job(job, m.drain or "drain", job.spec.save_s + 1.0 if saves else 0.0, now)
--- a/src/grebestand/decisions/placing.py
+++ b/src/grebestand/decisions/placing.py
@@ -18,6 +18,8 @@
 MOST_PLACES = 400
 
 
+#: a machine that takes so many times as long as others comes behind them
+PLACED_LAST = 1.25
 #: what is known of a machine that was not looked at
 NOT_SEEN = (-1, 0)
 
@@ -80,11 +82,13 @@
     def _start_tasks(self, job: Job, m: Machine, count: int, now: float) -> int:
         """Starts up to so many of the job's waiting tasks on a machine."""
         for started in range(count):
+            fresh = job.fresh
             index = job.take()
             if index is None:
                 return started
             job.started_at = now
-            self.dispatch.start(job, index, m, self.dispatch.next_attempt(), now)
+            place = self.dispatch.start(job, index, m, self.dispatch.next_attempt(), now)
+            place.first = job.fresh > fresh
         return count
 
     def allowed(self, job: Job, m: Machine) -> bool:
@@ -183,8 +187,6 @@
                 want = placed + self._want(job)
                 if job.spec.one_zone or job.spec.spread:
                     zones = self._zone_counts(job)
-                    if job.spec.one_zone and zones and m.zone not in zones:
-                        continue  # one of its tasks turned up in another zone
             if job.spec.spread:
                 n = min(n, half - zones.get(m.zone, 0))
             n = self._start_tasks(job, m, max(0, min(n, want - placed)), now)
@@ -215,6 +217,7 @@
         return (
             late,
             not own,
+            m.slowness > PLACED_LAST,
             job.image not in m.images,
             not m.spot if job.spec.spot else m.spot,
             m.rank,
--- a/src/grebestand/leading/basis.py
+++ b/src/grebestand/leading/basis.py
@@ -11,8 +11,10 @@
 from ..decisions.health import Health
 from ..decisions.knobs import Dials
 from ..decisions.scheduler import Scheduler
+from ..decisions.speed import Speeds
 from ..decisions.view import View
 from ..features.hooks import Features
+from ..measures.sketches import Sketches
 from ..reports.answers import Answers
 from ..reports.reading import Reader
 from ..settings.expressions import Expressions
@@ -53,8 +55,10 @@
         view = View(self.ledger, self.fleet, self.dispatch, run_times, self.dials.knobs, features)
         self.scheduler = Scheduler(view, p.objectives, p.workers.gang_wait_s)
         health = Health(self.fleet, self.dispatch, run_times, int(self.dials.value("sick_errors")))
-        self.reader = Reader(self.ledger, self.fleet, self.dispatch, run_times, health)
-        self.answers = Answers(self.ledger)
+        self.speeds = Speeds(self.fleet, health, self.dials.value("slow_ratio"), int(self.dials.value("slow_samples")))
+        self.sketches = Sketches()
+        self.reader = Reader(self.ledger, self.fleet, self.dispatch, run_times, health, self.speeds, self.sketches)
+        self.answers = Answers(self.ledger, self.sketches)
 
 
 class Part:
--- a/src/grebestand/leading/grants.py
+++ b/src/grebestand/leading/grants.py
@@ -69,7 +69,10 @@
             except BaseException:
                 self.dispatch.to_cover.update(jobs)
                 raise
+            now = self.clock()
             for job, record, machines in batch:
+                if job.stages is not None:
+                    job.stages.covered = now
                 job.granted_hi = max(job.granted_hi, record.hi)
                 if record.machines is None or job.granted is None:
                     job.granted = None
--- a/src/grebestand/leading/pace.py
+++ b/src/grebestand/leading/pace.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 from collections.abc import Callable
 
@@ -11,6 +12,8 @@
 from .basis import Basis, Part
 from .proof import Proof
 
+log = logging.getLogger("grebestand.pace")
+
 #: arrivals bring the next targets forward, but not closer than this to the last ones
 ARRIVAL_GAP_S = 0.5
 #: after a computation the leader answers workers and users for so many times as long as it took
@@ -32,6 +35,7 @@
         self._work: Steps | None = None
         self._complete: Callable[[], None] = lambda: None
         self._began = self._spent = 0.0
+        self._told_at = self.clock()
 
     @property
     def busy(self) -> bool:
@@ -85,13 +89,20 @@
             if not more:
                 self._work = None
             self.ledger.changed = changed
-            self._spent += self.clock() - begin
+            took = self.clock() - begin
+            self._spent += took
+            self.basis.sketches.add("stretch", took)
         if not more:
             self._complete()
 
     def _retargeted(self) -> None:
         self.retarget_after = self.clock() + REST * self._spent
+        if self.clock() - self._told_at >= self.scheduler.view.knobs.period_s:
+            self._told_at = self.clock()
+            self.basis.speeds.forget()
+            log.info("durations: %s", self.basis.sketches.tell())
         self.ledger.changed = True
 
     def _placed(self) -> None:
+        self.basis.sketches.add("pass", self._spent)
         self.place_after = max(self.clock() + REST * self._spent, self._began + PASS_GAP_S)
--- a/src/grebestand/leading/returning.py
+++ b/src/grebestand/leading/returning.py
@@ -103,7 +103,9 @@
         dials = self.basis.dials
         settled = (MachineState.READY, MachineState.LAPSED, MachineState.SUSPECT)
         going = [
-            m for m in self.fleet.machines if not m.places and m.state in settled and m.drain in ("faulty", "return")
+            m
+            for m in self.fleet.machines
+            if not m.places and m.state in settled and m.drain in ("faulty", "slow", "return")
         ]
         for m in self.basis.scheduler.renting.surplus(
             dials.value("keep_empty"), dials.value("idle_return_s"), self.clock()
--- /dev/null
+++ b/src/grebestand/measures/__init__.py
@@ -0,0 +1,1 @@
+"""What a controller measures of itself."""
--- a/src/grebestand/reports/answers.py
+++ b/src/grebestand/reports/answers.py
@@ -5,6 +5,7 @@
 from ..books.jobs import Job
 from ..books.ledger import Ledger
 from ..books.machine import Machine
+from ..measures.sketches import Sketches
 from ..states import JobState, MachineState, PlaceState
 from ..wire.jobs import Malformed, split_task
 from ..wire.workers import Command, Report, TaskReport, TaskStatus, Why
@@ -14,8 +15,9 @@
 
 
 class Answers:
-    def __init__(self, ledger: Ledger) -> None:
+    def __init__(self, ledger: Ledger, sketches: Sketches) -> None:
         self.ledger = ledger
+        self.sketches = sketches
 
     def commands(self, m: Machine, r: Report, now: float) -> list[Command]:
         """What the worker is told. Starts ride on check-in responses only, and only to recorded machines."""
@@ -52,6 +54,10 @@
                 self.ledger.move_place(place, PlaceState.SENT, now)
                 place.session = place.sent_session = r.session
                 place.sent_seq = r.seq
+                job = place.job
+                self.sketches.add("room to start", now - max(m.freed_at, job.accepted_at))
+                if job.stages is not None:
+                    job.stages.sent = now
                 out.append(Command("start", place.name, place.attempt))
             if len(out) >= MOST_COMMANDS:
                 break
--- a/src/grebestand/reports/reading.py
+++ b/src/grebestand/reports/reading.py
@@ -6,11 +6,13 @@
 
 from ..books.dispatch import Dispatch
 from ..books.fleet import Fleet
-from ..books.jobs import Job, Place
+from ..books.jobs import Job, Place, Stages
 from ..books.learned import RunTimes
 from ..books.ledger import Ledger
 from ..books.machine import Machine
 from ..decisions.health import Health
+from ..decisions.speed import Speeds
+from ..measures.sketches import Sketches
 from ..states import JobState, MachineState, PlaceState
 from ..wire.jobs import Kind, Malformed, split_task
 from ..wire.workers import Report, TaskReport, TaskStatus, Why
@@ -28,12 +30,23 @@
 
 
 class Reader:
-    def __init__(self, ledger: Ledger, fleet: Fleet, dispatch: Dispatch, run_times: RunTimes, health: Health) -> None:
+    def __init__(
+        self,
+        ledger: Ledger,
+        fleet: Fleet,
+        dispatch: Dispatch,
+        run_times: RunTimes,
+        health: Health,
+        speeds: Speeds,
+        sketches: Sketches,
+    ) -> None:
         self.ledger = ledger
         self.fleet = fleet
         self.dispatch = dispatch
         self.run_times = run_times
         self.health = health
+        self.speeds = speeds
+        self.sketches = sketches
         self.token = dispatch.token
 
     def meet(self, r: Report, now: float) -> Machine:
@@ -65,6 +78,8 @@
             self.fleet.move(m, MachineState.READY if m.recorded else MachineState.NEW, now)
         elif m.state is MachineState.SUSPECT:
             self.fleet.move(m, MachineState.READY, now)
+        if not direct and now - m.heard_at < self.fleet.lease_s:
+            self.sketches.add("late report", now - m.heard_at - self.fleet.report_s)
         m.heard_at = now
         places, seq = m.places, r.seq
         for status in r.tasks:
@@ -125,11 +140,29 @@
     def _read_state(self, m: Machine, place: Place, state: PlaceState, now: float) -> None:
         """A task is in another state than it was before."""
         self.ledger.move_place(place, state, now)
+        stages = place.job.stages
+        if stages is not None and stages.attempt == place.attempt:
+            self._stage(place.job, stages, state, now)
         if state is not PlaceState.FETCHING:
             self.fleet.note_image(m, place.job.image, place.job.spec.image_gb)
             if place.warms:
                 self.dispatch.stop(place, "gang broken", 0.0, now)
 
+    @staticmethod
+    def _stage(job: Job, stages: Stages, state: PlaceState, now: float) -> None:
+        """Tells of a gang that runs as a whole what each stage of its start took."""
+        if state is PlaceState.FETCHING:
+            stages.reported = now
+        elif state is PlaceState.RUNNING and job.running() == job.spec.tasks:
+            job.stages = None
+            reported = max(stages.reported, stages.sent)
+            log.info(
+                "gang %s runs whole: %d tasks, placed %.1f s after there was room, %.1f s to the grant, %.1f s to the "
+                "last answer, %.1f s to the last report of it, %.1f s to the last image",
+                job.spec.id, job.spec.tasks, stages.placed - stages.room, stages.covered - stages.placed,
+                stages.sent - max(stages.covered, stages.placed), reported - stages.sent, now - reported,
+            )  # fmt: skip
+
     def _adopt(self, m: Machine, job: Job, index: int, status: TaskStatus, now: float) -> Place:
         """A task that an earlier leader started: it goes on."""
         place = self.ledger.open_place(job, index, m.index, status.attempt, now)
@@ -144,6 +177,7 @@
             if place is not None and place.run_at is not None and job.spec.estimate_s > 0:
                 self.run_times.learn(job, now - place.run_at)
             if place is not None:
+                self.speeds.finished(m, place, now)
                 self._ended(m, place, now)
             m.errors = 0
             m.error_jobs.clear()
--- a/src/grebestand/settings/policy.py
+++ b/src/grebestand/settings/policy.py
@@ -43,6 +43,8 @@
     "keep_empty": Rule(0, 1e6),
     "dead_after_s": Rule(1, 1e9),
     "sick_errors": Rule(1, 1e6),
+    "slow_ratio": Rule(1.1, 100),
+    "slow_samples": Rule(4, 1e6),
 }
 VOCABULARY = Vocabulary(KEYS, VARIABLES)
 
--- /dev/null
+++ b/tests/test_steps.py
@@ -0,0 +1,287 @@
+"""Computations cut into steps: books that change in between, and how long nobody else gets a turn."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+import random
+
+import pytest
+
+from grebestand.books.jobs import Job
+from grebestand.books.machine import Machine
+from grebestand.decisions import gangs, placing, targets
+from grebestand.decisions.greedy import Seat, Wanted, cra
+from grebestand.decisions.view import Steps
+from grebestand.leading.pace import SLICE_S
+from grebestand.leading.term import Term
+from grebestand.states import MachineState
+from grebestand.wire.workers import TaskReport, Why
+from world import SETTINGS, Node, Worker, World
+
+
+def led(n: int, monkeypatch: pytest.MonkeyPatch, settings: str = SETTINGS) -> tuple[World, Node, Term, list[Worker]]:
+    """A leader of machines that are looked at one in a step."""
+    for module in (gangs, placing, targets):
+        monkeypatch.setattr(module, "MACHINES_A_STEP", 1)
+    world = World(settings)
+    node = Node(world, "node-0")
+    term = node.lead()
+    workers = [world.worker(f"n-{i:06d}") for i in range(n)]
+    world.settle(term, 6)
+    return world, node, term, workers
+
+
+def until(steps: Steps, count: int) -> None:
+    for _ in range(count):
+        next(steps)
+
+
+def others_run(term: Term) -> None:
+    """A slice ends here: reports are read, and a new turn begins."""
+    term.scheduler.view.turn += 1
+
+
+def machine(term: Term, worker: Worker) -> Machine:
+    return term.fleet.by_name[worker.name]
+
+
+def test_a_gang_does_not_start_on_a_machine_that_fell_silent_while_others_were_looked_at(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A pass over 5000 machines lets reports in between; a decision from before is checked when it is applied."""
+    world, node, term, workers = led(3, monkeypatch)
+    ident = world.accept(node, shape="ensemble", shards=2, cpus=16.0)
+    steps = term.scheduler.passing(world.clock.now)
+    until(steps, 4)  # the job, and all three machines have been looked at
+    first = machine(term, workers[0])
+    term.fleet.move(first, MachineState.SUSPECT, world.clock.now)
+    others_run(term)
+    for _ in steps:
+        pass
+    places = term.ledger.jobs[ident].places
+    assert sorted(p.machine for p in places.values()) == [machine(term, w).index for w in workers[1:]]
+
+
+def test_a_gang_waits_if_what_is_left_after_a_change_is_not_enough(monkeypatch: pytest.MonkeyPatch) -> None:
+    world, node, term, workers = led(2, monkeypatch)
+    ident = world.accept(node, shape="ensemble", shards=2, cpus=16.0)
+    steps = term.scheduler.passing(world.clock.now)
+    until(steps, 3)
+    machine(term, workers[1]).drain = "recall"
+    others_run(term)
+    for _ in steps:
+        pass
+    job = term.ledger.jobs[ident]
+    assert not job.places and "not all slots" in job.why_waiting
+
+
+def test_a_gang_cancelled_while_its_machines_are_looked_at_starts_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    world, node, term, _workers = led(2, monkeypatch)
+    ident = world.accept(node, shape="ensemble", shards=2, cpus=16.0)
+    job = term.ledger.jobs[ident]
+    steps = term.scheduler.passing(world.clock.now)
+    until(steps, 2)
+    assert node.users.cancel(ident).status == 200
+    term.jobs.watch()
+    others_run(term)
+    for _ in steps:
+        pass
+    assert not job.places and ident not in term.ledger.jobs
+
+
+def test_a_team_s_limit_counts_what_started_between_two_steps(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The limit is read again for each machine: a report's own filling may have used it up."""
+    settings = SETTINGS.replace("cpus_max = 16.0", "cpus_max = 32.0")
+    world, node, term, workers = led(3, monkeypatch, settings)
+    monkeypatch.setattr(placing, "STARTS_A_STEP", 1)
+    ident = world.accept(node, crew="red", shards=30, cpus=4.0)
+    other = world.accept(node, crew="red", shards=30, cpus=1.0, rank="best_effort")
+    term.scheduler.retarget(world.clock.now)
+    jobs = term.ledger.jobs
+    steps = term.scheduler.passing(world.clock.now)
+    while not jobs[ident].places:
+        next(steps)
+    term.scheduler.placing._start_tasks(jobs[other], machine(term, workers[2]), 12, world.clock.now)
+    others_run(term)
+    for _ in steps:
+        pass
+    # 16 + 12 of 32 CPUs were used when it went on: room for one more task of four
+    assert [len(jobs[i].places) for i in (ident, other)] == [5, 12]
+
+
+def test_a_template_is_not_given_to_a_machine_that_was_filled_while_the_plan_was_made(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Nothing is stopped for a template, so one made for an empty machine does not fit one that no longer is."""
+    world, node, term, (w,) = led(1, monkeypatch)
+    first = world.accept(node, shards=4, cpus=3.0, rank="best_effort")
+    term.scheduler.retarget(world.clock.now)
+    m = machine(term, w)
+    before = m.config
+    world.accept(node, shards=9, cpus=7.0)
+    steps = term.scheduler.retargeting(world.clock.now)
+    until(steps, 3)  # the plan is made: a template with two slots of the second type
+    job = term.ledger.jobs[first]
+    for index in range(4):
+        term.dispatch.start(job, index, m, 9, world.clock.now)
+    others_run(term)
+    for _ in steps:
+        pass
+    assert m.config == before != ()
+
+
+def test_a_long_pass_is_taken_in_slices_and_reports_are_answered_in_between(monkeypatch: pytest.MonkeyPatch) -> None:
+    """One pass over 5000 machines once held the leader for seconds, and nobody was answered meanwhile."""
+    world, node, term, workers = led(3, monkeypatch)
+    passing = term.scheduler.passing
+
+    def slow(now: float) -> Steps:
+        for _ in passing(now):
+            world.clock.now += 0.03
+            yield
+
+    monkeypatch.setattr(term.scheduler, "passing", slow)
+    ident = world.accept(node, shape="ensemble", shards=3, cpus=16.0)
+    world.clock.now += 1.0
+    term.pace.retarget_after = world.clock.now + 100.0
+    begin = world.clock.now
+    term.pace.step(begin)
+    assert term.pace.busy and world.clock.now - begin < SLICE_S + 0.03
+    assert world.checkin(term, workers[0]) is not None
+    for _ in range(50):
+        slice_began = world.clock.now
+        term.pace.go_on()
+        assert world.clock.now - slice_began < SLICE_S + 0.03
+    assert len(term.ledger.jobs[ident].places) == 3
+    # a change that came with the report in between brings another pass; the pass's own starts do not
+    term.pace.place_after = world.clock.now
+    assert not term.ledger.changed
+
+
+def test_a_computation_is_given_up_with_the_authority(monkeypatch: pytest.MonkeyPatch) -> None:
+    world, node, term, _workers = led(3, monkeypatch)
+    ident = world.accept(node, shape="ensemble", shards=3, cpus=16.0)
+    passing = term.scheduler.passing
+
+    def slow(now: float) -> Steps:
+        for _ in passing(now):
+            world.clock.now += 0.05
+            yield
+
+    monkeypatch.setattr(term.scheduler, "passing", slow)
+    world.clock.now += 1.0
+    term.pace.retarget_after = world.clock.now + 100.0
+    term.pace.step(world.clock.now)
+    assert term.pace.busy
+    node.leadership.resign("gives way", 10.0)
+    term.pace.go_on()
+    assert term.pace._work is None and not term.ledger.jobs[ident].places
+
+
+def test_reports_without_news_are_not_filled_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """With 1500 jobs waiting each report looked through all of them, though nothing on its machine had changed."""
+    world, node, term, (w,) = led(1, monkeypatch)
+    world.accept(node, shards=100, cpus=3.0, ramGb=30.0)  # memory for two, and CPUs for three more
+    world.settle(term, 6)
+    looked: list[str] = []
+    slots = term.scheduler.placing._slots_for
+
+    def counted(job: Job, m: Machine, blocked: set[int], now: float) -> int:
+        looked.append(job.spec.id)
+        return slots(job, m, blocked, now)
+
+    monkeypatch.setattr(term.scheduler.placing, "_slots_for", counted)
+    term.pace.place_after = term.pace.retarget_after = world.clock.now + 100.0
+    for _ in range(5):
+        world.clock.now += 1.0
+        assert world.checkin(term, w) is not None
+    assert not looked
+    w.finish(w.running()[0])
+    world.clock.now += 1.0
+    assert world.checkin(term, w) is not None
+    assert looked
+
+
+def one_by_one(seats: list[Seat], plan: list[Wanted]) -> int:
+    """Algorithm 2 as plainly as it can be written: every entry of the plan looks at every seat."""
+    worst = short = len(plan) + 1
+    for seat in seats:
+        seat.rank = worst
+    for i, wanted in enumerate(plan, start=1):
+        mine = [s for s in seats if s.pool == wanted.pool and s.rank == worst and s.config == wanted.config]
+        for seat in mine[: wanted.count]:
+            seat.rank = i
+        lack = max(0, wanted.count - len(mine))
+        later = {w.config for w in plan[i:] if w.pool == wanted.pool}
+        ready = [s for s in seats if s.pool == wanted.pool and s.rank == worst and s.may_become(wanted.config)]
+        ready.sort(key=lambda s: (not s.empty, s.config in later))
+        for seat in ready[:lack]:
+            seat.rank, seat.config = i, wanted.config
+        if lack > len(ready):
+            short = min(short, i)
+    return short
+
+
+def test_classification_by_groups_takes_the_same_machines_as_one_by_one() -> None:
+    """Grouped by configuration it no longer looks at every machine for every entry of the plan."""
+    rng = random.Random(5)
+    for _ in range(200):
+        configs = [(rng.randrange(3), rng.randrange(3)) for _ in range(4)]
+        seats = []
+        for tag in range(12):
+            empty = rng.random() < 0.5
+            holds = () if empty else rng.choice([(), (1, 0), (0, 1), (1, 1)])
+            seats.append(Seat(rng.randrange(2), rng.choice(configs), empty, holds, tag=tag))
+        seats.sort(key=lambda s: (s.empty, s.tag))
+        plan = [Wanted(rng.randrange(2), rng.choice(configs), rng.randrange(1, 6)) for _ in range(4)]
+        plainly = [dataclasses.replace(s) for s in seats]
+        assert cra(seats, plan) == one_by_one(plainly, plan)
+        assert [(s.config, s.rank) for s in seats] == [(s.config, s.rank) for s in plainly]
+
+
+def test_the_log_tells_what_each_stage_of_a_gang_s_start_took(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    world, node, term, workers = led(2, monkeypatch)
+    caplog.set_level(logging.INFO)
+    gang = world.accept(node, shape="ensemble", shards=2, cpus=16.0)
+    world.settle(term, 2)
+    for w in workers:
+        for status in w.tasks.values():
+            status.state = TaskReport.FETCHING
+    world.settle(term, 2)
+    for w in workers:
+        for status in w.tasks.values():
+            status.state = TaskReport.RUNNING
+    world.settle(term, 3)
+    told = [r.getMessage() for r in caplog.records if "runs whole" in r.getMessage()]
+    assert len(told) == 1 and told[0].startswith(f"gang {gang} runs whole: 2 tasks, placed 1.0 s after there was room")
+    assert "1.0 s to the last image" in told[0]
+
+
+def test_a_slow_machine_is_told_from_a_job_that_is_slow_everywhere(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Its tasks take twice as long as their job's others elsewhere, job after job; a slow job says nothing of it."""
+    world, node, term, workers = led(6, monkeypatch, SETTINGS.replace("cpus_max = 64.0", "cpus_max = 640.0"))
+    slow = machine(term, workers[5])
+    for round_ in range(6):
+        ident = world.accept(node, shards=24, cpus=4.0)
+        world.settle(term, 3)
+        begun = {w.name: [t for t in w.running() if t.startswith(ident)] for w in workers}
+        # the second job takes ten times as long on every machine
+        base = 100.0 if round_ == 1 else 10.0
+        for factor, some in ((1.0, workers[:5]), (2.0, workers[5:])):
+            world.settle(term, int(base * factor) - (int(base) if factor > 1 else 0))
+            for w in some:
+                for task in begun[w.name]:
+                    if task in w.tasks and w.tasks[task].why is None:
+                        w.finish(task, Why.DONE)
+        world.settle(term, 4)
+    assert slow.slowness > 1.5 and all(machine(term, w).slowness < 1.3 for w in workers[:5])
+    assert slow.drain == "slow"
+    assert sum("as long as others" in r.getMessage() for r in caplog.records) == 1
+    # work of no machine's past goes to the others, and the empty machine goes back to the cloud
+    term.returning.return_idle()
+    assert world.cloud.deleted == [workers[5].name]
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -139,6 +139,32 @@
     assert all(job.take() not in range(hi) for _ in range(5))
 
 
+@pytest.mark.parametrize("rule", ["samePlace", "scatter"])
+def test_tasks_bound_by_zones_wait_for_those_that_nobody_has_seen(rule: str) -> None:
+    """Beyond the grant they could run at once, but where a job's tasks have to share a zone, or to be spread over
+    zones, those on a machine that cannot be reached count too: a new leader started the rest in another zone."""
+    world = World()
+    far = world.worker("n-000000", zone="a")
+    node = Node(world, "node-0")
+    node.lead()
+    assert node.term is not None
+    world.settle(node.term, 3)
+    ident = world.accept(node, shards=40, **{rule: True})
+    world.settle(node.term, 4)
+    assert far.running()
+    far.reachable = False
+    near = world.worker("n-000001", zone="b")
+    again = successor(world, "node-1")
+    assert again.term is not None
+    world.settle(again.term, 8)
+    job = again.term.ledger.jobs[ident]
+    assert job.suspects and not near.started
+    far.reachable = True
+    far.lapse()
+    world.settle(again.term, 8)
+    assert not job.suspects and (near.started or far.running())
+
+
 def test_a_task_that_came_back_while_its_job_waited_for_proof_is_not_lost() -> None:
     """Proof once replaced the list of returned tasks, and one above the old grant would never have run again."""
     world, node, (near, far) = start_world()
--- a/tools/decisions.py
+++ b/tools/decisions.py
@@ -32,8 +32,10 @@
 from grebestand.decisions.health import Health  # noqa: E402
 from grebestand.decisions.knobs import Dials  # noqa: E402
 from grebestand.decisions.scheduler import Scheduler  # noqa: E402
+from grebestand.decisions.speed import Speeds  # noqa: E402
 from grebestand.decisions.view import View  # noqa: E402
 from grebestand.features.hooks import Features  # noqa: E402
+from grebestand.measures.sketches import Sketches  # noqa: E402
 from grebestand.reports.answers import Answers  # noqa: E402
 from grebestand.reports.reading import Reader  # noqa: E402
 from grebestand.settings import platform, policy  # noqa: E402
@@ -106,10 +108,12 @@
         dials = Dials(policy.default(), p, self.ledger, self.fleet)
         view = View(self.ledger, self.fleet, self.dispatch, run_times, dials.knobs, Features())
         self.scheduler = Scheduler(view, p.objectives, p.workers.gang_wait_s)
+        health = Health(self.fleet, self.dispatch, run_times, 3)
+        sketches = Sketches()
         self.reader = Reader(
-            self.ledger, self.fleet, self.dispatch, run_times, Health(self.fleet, self.dispatch, run_times, 3)
+            self.ledger, self.fleet, self.dispatch, run_times, health, Speeds(self.fleet, health, 1.5, 8), sketches
         )
-        self.answers = Answers(self.ledger)
+        self.answers = Answers(self.ledger, sketches)
         self.specs = list(self._specs(tasks))
         self.machines = [
             (f"n-{i:06d}", self.rng.choice(TYPES).name, self.rng.choice(ZONES), self.rng.random() < 0.2)
