What passes have seen of machines is kept until targets are set again

Change: tables of slots and rooms live on from pass to pass, each entry held against its machine's count of edits; they go when targets are set or when others may be asked for room, and a victim is checked again before it is stopped. Arrays look only at machines with room for the smallest of them. `tools/account.py` counts steps of what is cut and shows stretches as distributions.

--- a/src/grebestand/decisions/clearing.py
+++ b/src/grebestand/decisions/clearing.py
@@ -44,6 +44,10 @@
             return mine < theirs
         return reclaims and not other.guaranteed and other.team != job.team and self.ledger.teams[other.team].borrows()
 
+    def may_stop(self, job: Job, victim: Place, now: float) -> bool:
+        """Whether that is still so for a victim found earlier."""
+        return victim.state is not PlaceState.GONE and self._may_displace(job, victim, self.reclaims_for(job, now) >= 0)
+
     def reclaims_for(self, job: Job, now: float) -> int:
         """The team for which the job may take back a guarantee from others, or -1."""
         others = job.guaranteed and bool(self.borrowers - {job.team})
--- a/src/grebestand/decisions/gangs.py
+++ b/src/grebestand/decisions/gangs.py
@@ -66,13 +66,20 @@
         self.gang_wait_s = gang_wait_s
         #: the smallest gang for which the pass has found no room, by type, how it may be spread, and whose work may go
         self._no_gang: dict[tuple[int, bool, bool, int], tuple[int, Amounts]] = {}
-        #: what the pass has seen of machines, by all that matters of a gang but its image
+        self._borrowers: set[int] = set()
+        #: what was seen of machines, by all that matters of a gang but its image
         self._known: dict[tuple[object, ...], dict[int, tuple[int, list[Room]]]] = {}
 
     def begin(self) -> None:
         """A full pass begins."""
         self._no_gang = {}
+        if self.clearing.borrowers != self._borrowers:
+            self.forget()
+
+    def forget(self) -> None:
+        """What stopping work costs has to be looked up again: time has passed, or others may be asked for room."""
         self._known = {}
+        self._borrowers = set(self.clearing.borrowers)
 
     def place(self, job: Job, ready: list[Machine], now: float, has_reserved: bool) -> Steps:
         """Whole or not at all: every task needs a slot at the same moment."""
@@ -121,6 +128,10 @@
                 self._no_gang[alike] = n, job.size
             return
         if not all(offer.ready for offer, _ in chosen):
+            if not all(self.clearing.may_stop(job, v, now) for offer, _ in chosen for v in offer.victims):
+                self.forget()  # a guarantee or a limit has changed since they were looked up
+                job.why_waiting = NO_ROOM_FOR_GANG
+                return
             job.why_waiting = "its slots are being cleared"
             job.preempt_at = now
             for offer, _ in chosen:
--- a/src/grebestand/decisions/placing.py
+++ b/src/grebestand/decisions/placing.py
@@ -35,13 +35,19 @@
         self.blocked: set[int] = set()
         #: sizes for which the pass has found no slot, by type and whether the job has waited for a period
         self._no_slot: dict[tuple[int, int, bool], Amounts] = {}
-        #: slots that the pass has found, by type, size and age of jobs: by machine, with its count of edits then
+        #: slots that were found, by type, size and age of jobs: by machine, with its count of edits then
         self._known: dict[tuple[int, Amounts, bool], dict[int, tuple[int, int]]] = {}
 
     def begin(self) -> None:
-        """A full pass begins."""
-        self.blocked = {j.type for j in self.ledger.waiting_jobs()}
+        """A full pass begins. Slots that are known stay known: each is held against its machine's count of edits."""
+        blocked = {j.type for j in self.ledger.waiting_jobs()}
+        if blocked != self.blocked:
+            self.forget()
+        self.blocked = blocked
         self._no_slot = {}
+
+    def forget(self) -> None:
+        """Templates have changed, or whose spare slots may be borrowed."""
         self._known = {}
 
     def fill(self, m: Machine, now: float) -> None:
@@ -136,7 +142,8 @@
             return room
         return room if now - job.wait_since >= self.knobs.period_s or m.rank == 0 else 0
 
-    def place(self, job: Job, ready: list[Machine], now: float, has_reserved: bool) -> Steps:
+    def place(self, job: Job, roomy: list[Machine], ready: list[Machine], now: float, has_reserved: bool) -> Steps:
+        """Gives a job's waiting tasks the slots there are on machines with room, and if need be clears some."""
         want = self._want(job)
         if want <= 0:
             job.why_waiting = "team limit"
@@ -149,7 +156,7 @@
         # slots depend on a job's size and age, not on its image; machines reserved for one job are no rule for others
         known = {} if has_reserved else remembered(self._known, (job.type, job.size, aged))
         if hopeless is None or has_reserved or not fits(hopeless, job.size):
-            for looked, m in enumerate(ready, 1):
+            for looked, m in enumerate(roomy, 1):
                 if not looked % MACHINES_A_STEP:
                     yield
                 if job.size[0] > m.free[0]:
--- a/src/grebestand/decisions/scheduler.py
+++ b/src/grebestand/decisions/scheduler.py
@@ -44,6 +44,8 @@
         self.retargeted_at = now
         self.view.knobs = self.view.knobs_of()
         yield from self.targets.set(now)
+        self.placing.forget()
+        self.gangs.forget()
         yield from self.images.measure()
         yield
         if spare and self.view.knobs.migrate:
@@ -79,17 +81,23 @@
                     m.reserved_for = None
         ready = [m for m in self.fleet.machines if self.fleet.usable(m, now)]
         turn = self.view.turn
+        # most machines have no room for any of the single tasks; what a report brings meanwhile it fills itself
+        least = min((j.size[0] for j in waiting if not j.gang), default=0)
+        roomy = [m for m in ready if m.free[0] >= least]
         for job in waiting:
             yield
             if self.view.turn != turn:
                 turn = self.view.turn
                 ready = [m for m in ready if self.fleet.usable(m, now)]
+                roomy = [m for m in ready if m.free[0] >= least]
             if not job.live or now < job.hold_until or job.startable() <= 0:
                 continue
             veto = self.view.features.veto(job, now)
             if veto is not None:
                 job.why_waiting = veto
                 continue
-            part = self.gangs if job.gang else self.placing
-            yield from part.place(job, ready, now, job.spec.id in reserved)
+            if job.gang:
+                yield from self.gangs.place(job, ready, now, job.spec.id in reserved)
+            else:
+                yield from self.placing.place(job, roomy, ready, now, job.spec.id in reserved)
         self.placing.queue = [j for j in waiting if not j.gang and j.waiting() > 0]
--- a/tools/account.py
+++ b/tools/account.py
@@ -2,8 +2,8 @@
 
     python3 tools/account.py [--every S] [--functions N] [--memory] --config settings.toml
 
-Every S seconds it prints what each kind of greenlet took since the last time, how often it ran, and the longest
-stretch for which it did not yield: while a stretch lasts, no report is answered and no hold is renewed. Some
+Every S seconds it prints what each kind of greenlet took since the last time, how often it ran, and how its stretches
+without a yield are distributed: while one lasts, no report is answered and no hold is renewed. Some
 parts that compute without yielding are counted a second time, as `.part`, and so is garbage collection. With
 `--functions N` it prints instead the N functions that took most; that needs `yappi` (requirements-dev.txt) and
 makes everything several times slower, so read it as shares. With `--memory` it adds resident kilobytes and the
@@ -17,6 +17,7 @@
 import contextlib
 import functools
 import gc
+import inspect
 import os
 import sys
 import time
@@ -33,6 +34,7 @@
 from grebestand.books.fleet import Fleet  # noqa: E402
 from grebestand.books.ledger import Ledger  # noqa: E402
 from grebestand.cli import main  # noqa: E402
+from grebestand.decisions.explain import Explanation  # noqa: E402
 from grebestand.decisions.gangs import Gangs  # noqa: E402
 from grebestand.decisions.images import Images  # noqa: E402
 from grebestand.decisions.migration import Migration  # noqa: E402
@@ -43,6 +45,7 @@
 from grebestand.leading.gossip import Gossip  # noqa: E402
 from grebestand.leading.pace import Pace  # noqa: E402
 from grebestand.leading.proof import Proof  # noqa: E402
+from grebestand.measures.sketches import Sketches  # noqa: E402
 from grebestand.process.controller import Controller  # noqa: E402
 from grebestand.reports.answers import Answers  # noqa: E402
 from grebestand.reports.reading import Reader  # noqa: E402
@@ -54,16 +57,17 @@
     (Answers, ["commands"]),
     (Fleet, ["sweep_silence"]),
     (Ledger, ["rate_guarantees"]),
-    (Pace, ["step"]),
+    (Pace, ["step", "go_on"]),
     (Proof, ["check"]),
     (Gossip, ["cached_images"]),
-    (Scheduler, ["place", "retarget", "fill"]),
+    (Scheduler, ["passing", "retargeting", "fill"]),
     (Targets, ["set"]),
     (Renting, ["measure"]),
     (Images, ["measure"]),
     (Migration, ["migrate"]),
     (Gangs, ["place", "offers"]),
     (Placing, ["place", "_make_room"]),
+    (Explanation, ["tell"]),
 ]
 
 
@@ -79,25 +83,26 @@
 class Account:
     def __init__(self) -> None:
         self.clock = time.perf_counter
-        self.labels: dict[int, str] = {}
         self.reset()
         self.since = self.collecting_since = self.clock()
 
     def reset(self) -> None:
         self.took: Counter[str] = Counter()
         self.runs: Counter[str] = Counter()
-        self.longest: dict[str, float] = {}
+        self.stretches = Sketches()
+
+    def add(self, label: str, seconds: float, runs: int = 1) -> None:
+        self.took[label] += seconds
+        self.runs[label] += runs
+        self.stretches.add(label, seconds)
 
     def collected(self, phase: str, info: dict[str, int]) -> None:
         """Garbage collections, which happen inside whatever runs: counted a second time under a label of their own."""
         now = self.clock()
         if phase == "start":
             self.collecting_since = now
-            return
-        label = f"(collection {info['generation']})"
-        self.took[label] += now - self.collecting_since
-        self.runs[label] += 1
-        self.longest[label] = max(self.longest.get(label, 0.0), now - self.collecting_since)
+        else:
+            self.add(f"(collection {info['generation']})", now - self.collecting_since)
 
     def switched(self, event: str, args: tuple[Any, Any]) -> None:
         now = self.clock()
@@ -107,18 +112,12 @@
             label = label_of(origin)
             with contextlib.suppress(AttributeError):
                 origin._account_label = label
-        stretch = now - self.since
-        self.took[label] += stretch
-        self.runs[label] += 1
-        if stretch > self.longest.get(label, 0.0):
-            self.longest[label] = stretch
+        self.add(label, now - self.since)
         self.since = now
 
     def watch(self, owner: type, name: str) -> None:
-        """Counts what a method takes, with all that it calls."""
-        inner = getattr(owner, name, None)
-        if inner is None:
-            return
+        """Counts what a method takes, with all that it calls; of one that is cut into steps, each step."""
+        inner = getattr(owner, name)
         label = f".{owner.__name__}.{name.lstrip('_')}"
 
         @functools.wraps(inner)
@@ -127,17 +126,32 @@
             try:
                 return inner(*args, **named)
             finally:
-                took = self.clock() - begin
-                self.took[label] += took
-                self.runs[label] += 1
-                self.longest[label] = max(self.longest.get(label, 0.0), took)
+                self.add(label, self.clock() - begin)
 
-        setattr(owner, name, timed)
+        @functools.wraps(inner)
+        def stepped(*args: Any, **named: Any) -> Any:
+            steps = inner(*args, **named)
+            self.runs[label] += 1
+            while True:
+                begin = self.clock()
+                try:
+                    next(steps)
+                except StopIteration as end:
+                    self.add(label, self.clock() - begin, runs=0)
+                    return end.value
+                self.add(label, self.clock() - begin, runs=0)
+                yield
+
+        setattr(owner, name, stepped if inspect.isgeneratorfunction(inner) else timed)
 
     def show(self, seconds: float) -> None:
-        rows = [f"account of {seconds:.0f} s: seconds, runs, longest stretch in ms"]
+        rows = [
+            f"account of {seconds:.0f} s: seconds, runs; stretches in ms: half are below, 99% are below, the longest"
+        ]
         for label, took in self.took.most_common(40):
-            rows.append(f"  {took:8.2f} {self.runs[label]:7d} {1000 * self.longest[label]:8.1f}  {label}")
+            half, most = (1000 * self.stretches.quantile(label, q) for q in (0.5, 0.99))
+            longest = 1000 * self.stretches.longest(label)
+            rows.append(f"  {took:8.2f} {self.runs[label]:7d} {half:8.2f} {most:8.1f} {longest:8.1f}  {label}")
         self.reset()
         print("\n".join(rows), file=sys.stderr, flush=True)
 
