--- a/src/grebestand/books/ledger.py
+++ b/src/grebestand/books/ledger.py
@@ -13,9 +13,6 @@
 from .task_types import TaskType, _bucket
 from .teams import TeamUse
 
-#: a job accepted longer ago than this is no arrival
-NEW_S = 5.0
-
 
 class Ledger:
     """All live jobs. The only writer of job and place states is here."""
@@ -61,8 +58,6 @@
         job.image = self.image(spec.image, spec.image_gb)
         job.type = self._classify(job, now)
         job.wait_since = job.started_at = now
-        if job.gang and now - accepted_at < NEW_S:  # not what a new leader finds on record
-            self.types[job.type].came(spec.tasks, now)
         self.jobs[spec.id] = job
         self.changed = self.arrived = True
         return job
--- a/src/grebestand/decisions/gangs.py
+++ b/src/grebestand/decisions/gangs.py
@@ -167,7 +167,6 @@
                 index += 1
             if m.reserved_for == job.spec.id:
                 m.reserved_for = None
-            self.placing.holding.note(m)
         log.info(
             "gang %s: %d tasks placed after %.1f s on %s",
             job.spec.id,
--- a/src/grebestand/decisions/knobs.py
+++ b/src/grebestand/decisions/knobs.py
@@ -22,7 +22,6 @@
     reclaim_after_s: float
     migrate: bool
     lend_spare: bool
-    hold_spare_s: float
 
 
 class Dials:
@@ -72,5 +71,4 @@
             reclaim_after_s=v("reclaim_after_s", names),
             migrate=bool(v("migrate", names)),
             lend_spare=bool(v("lend_spare", names)),
-            hold_spare_s=v("hold_spare_s", names),
         )
--- a/src/grebestand/decisions/placing.py
+++ b/src/grebestand/decisions/placing.py
@@ -9,7 +9,6 @@
 from ..books.machine import Machine
 from ..wire.jobs import PRIORITIES
 from .clearing import Clearing
-from .holding import Holding
 from .images import Images
 from .view import MACHINES_A_STEP, STARTS_A_STEP, Decision, Steps, View, remembered
 
@@ -26,11 +25,10 @@
 
 
 class Placing(Decision):
-    def __init__(self, view: View, images: Images, clearing: Clearing, holding: Holding) -> None:
+    def __init__(self, view: View, images: Images, clearing: Clearing) -> None:
         super().__init__(view)
         self.images = images
         self.clearing = clearing
-        self.holding = holding
         #: jobs that waited at the end of the last full pass, in order of service
         self.queue: list[Job] = []
         #: types of which something waited at the last full pass
@@ -62,8 +60,6 @@
             return
         # what the last pass found no room for here finds none now unless something has changed on this machine
         m.news = False
-        if self.holding.keep:
-            self.holding.note(m)
         done = False
         vetoes = self.view.features
         refused: dict[tuple[int, bool], Amounts] = {}
@@ -91,19 +87,15 @@
 
     def _start_tasks(self, job: Job, m: Machine, count: int, now: float) -> int:
         """Starts up to so many of the job's waiting tasks on a machine."""
-        started = 0
-        while started < count:
+        for started in range(count):
             fresh = job.fresh
             index = job.take()
             if index is None:
-                break
+                return started
             job.started_at = now
             place = self.dispatch.start(job, index, m, self.dispatch.next_attempt(), now)
             place.first = job.fresh > fresh
-            started += 1
-        if started and self.holding.keep:
-            self.holding.note(m)
-        return started
+        return count
 
     def allowed(self, job: Job, m: Machine) -> bool:
         kinds = self.ledger.types[job.type].machine_types
@@ -125,7 +117,7 @@
 
     def _slots_for(self, job: Job, m: Machine, blocked_types: set[int], now: float) -> int:
         """How many of the job's tasks the machine takes now, by the paper's rules and our two additions."""
-        room = how_many(job.size, self.holding.room(job, m) if self.holding.keep else m.free)
+        room = how_many(job.size, m.free)
         if room <= 0:
             return 0
         room = min(room, MOST_PLACES - len(m.places))
@@ -172,8 +164,7 @@
                 edits, n = known.get(m.index, NOT_SEEN)
                 if edits != m.edits or has_reserved:
                     n = self._slots_for(job, m, self.blocked, now)
-                    if not self.holding.concerns(m):  # else it depends on other machines too
-                        known[m.index] = m.edits, n
+                    known[m.index] = m.edits, n
                 if n > 0 and self.allowed(job, m) and self.images.worth_fetching(job, m, now):
                     options.append((self.preference(job, m), n, m))
             if not options and not job.avoid:
@@ -198,7 +189,7 @@
             if since_step >= STARTS_A_STEP:
                 since_step = 0
                 yield
-            if self.view.turn != turn or self.holding.concerns(m):
+            if self.view.turn != turn:
                 n = self._still(job, m, now)
                 want = placed + self._want(job)
                 if job.spec.one_zone or job.spec.spread:
--- a/src/grebestand/decisions/scheduler.py
+++ b/src/grebestand/decisions/scheduler.py
@@ -10,7 +10,6 @@
 from .clearing import Clearing
 from .explain import Explanation
 from .gangs import Gangs
-from .holding import Holding
 from .images import Images
 from .migration import Migration
 from .placing import Placing
@@ -28,8 +27,7 @@
         self.aims = Aims(objectives, view.run_times)
         self.images = Images(view)
         self.clearing = Clearing(view, self.aims)
-        self.holding = Holding(view)
-        self.placing = Placing(view, self.images, self.clearing, self.holding)
+        self.placing = Placing(view, self.images, self.clearing)
         self.gangs = Gangs(view, self.images, self.clearing, self.placing, gang_wait_s)
         self.renting = Renting(view)
         self.targets = Targets(view, self.renting)
@@ -82,7 +80,6 @@
                 if now >= m.reserved_until or job is None or not job.live or job.waiting() == 0:
                     m.reserved_for = None
         ready = [m for m in self.fleet.machines if self.fleet.usable(m, now)]
-        self.holding.begin(ready, now)
         turn = self.view.turn
         # most machines have no room for any of the single tasks; what a report brings meanwhile it fills itself
         least = min((j.size[0] for j in waiting if not j.gang), default=0)
--- a/src/grebestand/settings/policy.py
+++ b/src/grebestand/settings/policy.py
@@ -37,7 +37,6 @@
     "reclaim_after_s": Rule(0, 1e6),
     "migrate": Rule(0, 1, boolean=True),
     "lend_spare": Rule(0, 1, boolean=True),
-    "hold_spare_s": Rule(0, 600),
     "rent": Rule(0, 1, boolean=True),
     "rent_spot": Rule(0, 1, boolean=True),
     "idle_return_s": Rule(1, 1e9),
