Jobs alike clear machines from one list a pass; gangs stop looking once there is enough

Each of 80 jobs that may displace lower work looked at every machine for it.

Change: jobs of one type and claim take machines to clear from one list, ranked once a pass, and each is looked at again when it is used. A gang stops looking once one zone has free room for a thousand tasks at the least price there can be.

Two stories, each seen to fail with its part taken out.

--- a/src/grebestand/decisions/gangs.py
+++ b/src/grebestand/decisions/gangs.py
@@ -25,6 +25,8 @@
 CLEARING_COST = 5.0
 #: where the slowest image of a gang takes more than this part of what tasks wait for their gang, the others start later
 UNEVEN = 0.5
+#: room for so many tasks in one zone, free and at the least price, is enough to choose from
+ENOUGH = 1000
 #: how often a choice is mended for machines that changed while others were looked at
 MOST_MENDS = 3
 NO_ROOM_FOR_GANG = "not all slots are free at once, nor can they be cleared in one zone"
@@ -95,12 +97,21 @@
         turn = self.view.turn
         offers: list[Offer] = []
         rooms = self._rooms(job, now)
+        #: by zone, tasks that would start now at the least price there can be
+        perfect: dict[int, int] = {}
+        least = IDLE_WEIGHT * self.images.least_s(job) * job.size[0] / 1e6
         for looked, m in enumerate(ready, 1):
             if not looked % MACHINES_A_STEP:
                 yield
             edits, found = rooms.get(m.index, NEVER)
-            if found or edits != m.edits:
-                offers += self.offers(job, m, rooms, now)
+            if not found and edits == m.edits:
+                continue
+            for offer in self.offers(job, m, rooms, now):
+                offers.append(offer)
+                if offer.ready and offer.cost <= least:
+                    perfect[m.zone] = perfect.get(m.zone, 0) + offer.tasks
+            if perfect.get(m.zone, 0) >= max(ENOUGH, 4 * n):
+                break  # there is nothing better, and enough to choose from
         chosen = self.choose(job, offers)
         for _ in range(MOST_MENDS):
             if chosen is None or self.view.turn == turn:
--- a/src/grebestand/decisions/images.py
+++ b/src/grebestand/decisions/images.py
@@ -15,6 +15,8 @@
         super().__init__(view)
         #: images for which the machines that have them had room enough when targets were last set
         self.well_spread: set[int] = set()
+        #: images that some machine had or fetched then
+        self.hosted: set[int] = set()
 
     def measure(self) -> Steps:
         """Finds the images whose machines, shared with other work, can serve what is asked for with them."""
@@ -30,6 +32,7 @@
             if self.fleet.counts(m):
                 for image in (*m.images, *m.pulls):
                     hosts[image] = hosts.get(image, 0) + m.room[0]
+        self.hosted = set(hosts)
         self.well_spread = {i for i, need in demand.items() if hosts.get(i, 0) >= HOST_FACTOR * need}
 
     def worth_fetching(self, job: Job, m: Machine, now: float) -> bool:
@@ -46,6 +49,13 @@
             return True
         return not m.pulls and (job.image not in self.well_spread or now - job.started_at >= fetch)
 
+    def least_s(self, job: Job) -> float:
+        """The shortest that the job would have to wait for its image anywhere: not at all if a machine has it."""
+        if job.image in self.hosted:
+            return 0.0
+        fastest = max((kind.fetch_gb_per_s for kind in self.fleet.kinds.values()), default=1.0)
+        return self.ledger.image_gb[job.image] / max(fastest, 1e-3)
+
     def fetch_s(self, job: Job, m: Machine) -> float:
         """How long the job would wait for its image there; images that are fetched together share the rate."""
         if job.image in m.images:
--- a/src/grebestand/decisions/placing.py
+++ b/src/grebestand/decisions/placing.py
@@ -16,6 +16,8 @@
 
 #: a worker's report has to stay below 64 KiB
 MOST_PLACES = 400
+#: machines that one job has cleared in a pass, and that it tries for it
+MOST_CLEARED, MOST_TRIED = 8, 200
 
 
 #: a machine that takes so many times as long as others comes behind them
@@ -35,6 +37,9 @@
         self.blocked: set[int] = set()
         #: sizes for which the pass has found no slot, by type and whether the job has waited for a period
         self._no_slot: dict[tuple[int, int, bool], Amounts] = {}
+        #: machines where the pass has found something to stop, the cheapest last, by type and the team that takes its
+        #: guarantee back; who uses one takes it from the list
+        self._clearable: dict[tuple[int, int], list[Machine]] = {}
         #: slots that were found, by type, size and age of jobs: by machine, with its count of edits then
         self._known: dict[tuple[int, Amounts, bool], dict[int, tuple[int, int]]] = {}
 
@@ -45,6 +50,7 @@
             self.forget()
         self.blocked = blocked
         self._no_slot = {}
+        self._clearable = {}
 
     def forget(self) -> None:
         """Templates have changed, or whose spare slots may be borrowed."""
@@ -240,20 +246,29 @@
         if lowest and not (job.guaranteed and self.clearing.borrowers - {job.team}):
             return  # there is nothing that it could displace
         job.preempt_at = now
-        options: list[tuple[float, Machine]] = []
-        reclaims = self.clearing.reclaims_for(job, now) >= 0
-        for looked, m in enumerate(ready, 1):
-            if not looked % MACHINES_A_STEP:
-                yield
-            if self.clearing.hopeless(job, m, reclaims):
-                continue
-            found = self._evicted(job, m, now)
-            if found is not None:
-                options.append((found[1], m))
-        options.sort(key=lambda o: o[0])
-        for _, m in options[: max(1, min(tasks, 8))]:
-            found = self._evicted(job, m, now) if job.live and self.fleet.usable(m, now) else None
+        alike = job.type, self.clearing.reclaims_for(job, now)
+        ranked = self._clearable.get(alike)
+        if ranked is None:
+            # jobs alike take from one list: a look at every machine for each of them grew faster than the machines
+            options: list[tuple[float, Machine]] = []
+            for looked, m in enumerate(ready, 1):
+                if not looked % MACHINES_A_STEP:
+                    yield
+                if self.clearing.hopeless(job, m, alike[1] >= 0):
+                    continue
+                found = self._evicted(job, m, now)
+                if found is not None:
+                    options.append((found[1], m))
+            options.sort(key=lambda o: o[0], reverse=True)
+            ranked = self._clearable[alike] = [m for _, m in options]
+        want = max(1, min(tasks, MOST_CLEARED))
+        for _ in range(min(len(ranked), MOST_TRIED)):
+            if not want or not job.live:
+                return
+            m = ranked.pop()
+            found = self._evicted(job, m, now) if self.fleet.usable(m, now) else None
             if found is not None:
+                want -= 1
                 m.reserved_for, m.reserved_until = job.spec.id, now + 8.0
                 self.clearing.displace(found[0], job, now)
 
--- a/tests/test_steps.py
+++ b/tests/test_steps.py
@@ -8,9 +8,10 @@
 
 import pytest
 
-from grebestand.books.jobs import Job
+from grebestand.books.jobs import Job, Place
 from grebestand.books.machine import Machine
 from grebestand.decisions import gangs, placing, targets
+from grebestand.decisions.gangs import Offer, Room
 from grebestand.decisions.greedy import Seat, Wanted, cra
 from grebestand.decisions.view import Steps
 from grebestand.leading.pace import SLICE_S
@@ -285,3 +286,47 @@
     # work of no machine's past goes to the others, and the empty machine goes back to the cloud
     term.returning.return_idle()
     assert world.cloud.deleted == [workers[5].name]
+
+
+def test_jobs_alike_take_the_machines_to_clear_from_one_list(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each of 80 jobs that may displace lower work once looked at every machine for it in every pass."""
+    world, node, term, workers = led(4, monkeypatch)
+    world.accept(node, shards=64, cpus=1.0, ramGb=0.1, rank="best_effort")
+    world.settle(term, 5)
+    assert sum(len(w.running()) for w in workers) == 64
+    high = [world.accept(node, cpus=2.0, crew="red", rank="high") for _ in range(6)]
+    world.clock.now += 30.0  # patient for a while, and no longer
+    for job in (term.ledger.jobs[i] for i in high):
+        job.wait_since -= 60.0
+    looked: list[str] = []
+    eviction = term.scheduler.clearing.eviction
+
+    def counted(job: Job, m: Machine, tasks: int, now: float) -> tuple[list[Place], float] | None:
+        looked.append(job.spec.id)
+        return eviction(job, m, tasks, now)
+
+    monkeypatch.setattr(term.scheduler.clearing, "eviction", counted)
+    term.scheduler.place(world.clock.now)
+    reserved = {m.reserved_for for m in term.fleet.machines} - {None}
+    assert len(reserved) == 4 and reserved <= set(high)  # a machine each, and no machine for two of them
+    assert len(looked) <= 8  # one look at each of the four machines, and one more when it is used
+
+
+def test_a_gang_stops_looking_once_there_is_enough_to_choose_from(monkeypatch: pytest.MonkeyPatch) -> None:
+    """In an empty fleet of thousands every gang looked at every machine, though the first ones would do."""
+    world, node, term, _workers = led(12, monkeypatch, SETTINGS.replace("cpus_max = 64.0", "cpus_max = 640.0"))
+    monkeypatch.setattr(gangs, "ENOUGH", 2)
+    looked: set[int] = set()
+    offers = term.scheduler.gangs.offers
+
+    def counted(job: Job, m: Machine, rooms: dict[int, tuple[int, list[Room]]], now: float) -> list[Offer]:
+        looked.add(m.index)
+        return offers(job, m, rooms, now)
+
+    monkeypatch.setattr(term.scheduler.gangs, "offers", counted)
+    world.accept(node, shape="ensemble", shards=1, cpus=15.0)
+    term.scheduler.place(world.clock.now)
+    assert len(looked) == 4  # four times as many as its tasks
+    world.accept(node, shape="ensemble", shards=9, cpus=15.0)
+    term.scheduler.place(world.clock.now)
+    assert all(job.places for job in term.ledger.jobs.values()) and len(looked) == 12
