--- a/src/grebestand/decisions/gangs.py
+++ b/src/grebestand/decisions/gangs.py
@@ -26,7 +26,7 @@
 #: where the slowest image of a gang takes more than this part of what tasks wait for their gang, the others start later
 UNEVEN = 0.5
 #: room for so many tasks in one zone, free and at the least price, is enough to choose from
-ENOUGH = 1000
+ENOUGH = 200
 #: how often a choice is mended for machines that changed while others were looked at
 MOST_MENDS = 3
 NO_ROOM_FOR_GANG = "not all slots are free at once, nor can they be cleared in one zone"
--- a/src/grebestand/leading/pace.py
+++ b/src/grebestand/leading/pace.py
@@ -19,7 +19,7 @@
 #: after a computation the leader answers workers and users for so many times as long as it took
 REST = 6.0
 #: passes begin no closer to each other than this: starts ride on reports, and those come every few seconds
-PASS_GAP_S = 0.1
+PASS_GAP_S = 0.25
 #: a computation lets others run after so long
 SLICE_S = 0.04
 
