Rest after a short pass in proportion to it, up to a quarter of a second

Need: a gap of a quarter of a second whatever a pass took is of no use where a pass takes a millisecond.

Kept, as it costs nothing where passes are long and waits less where they are short.

--- a/src/grebestand/leading/pace.py
+++ b/src/grebestand/leading/pace.py
@@ -18,8 +18,9 @@
 ARRIVAL_GAP_S = 0.5
 #: after a computation the leader answers workers and users for so many times as long as it took
 REST = 6.0
-#: passes begin no closer to each other than this: starts ride on reports, and those come every few seconds
-PASS_GAP_S = 0.25
+#: a short pass is followed by a longer rest in proportion, up to so much between two beginnings: starts ride on
+#: reports, and those come every few seconds
+LIGHT_REST, PASS_GAP_S = 25.0, 0.25
 #: a computation lets others run after so long
 SLICE_S = 0.04
 
@@ -105,4 +106,6 @@
 
     def _placed(self) -> None:
         self.basis.sketches.add("pass", self._spent)
-        self.place_after = max(self.clock() + REST * self._spent, self._began + PASS_GAP_S)
+        end = self.clock()
+        light = min(end + LIGHT_REST * self._spent, self._began + PASS_GAP_S)
+        self.place_after = max(end + REST * self._spent, light)
