--- a/src/grebestand/books/fleet.py
+++ b/src/grebestand/books/fleet.py
@@ -23,6 +23,8 @@
         self.rooms: list[Amounts] = []
         self.lease_s = lease_s
         self.report_s = report_s
+        #: jobs that machines are reserved for though they are not in the books: other clusters' gangs that may come
+        self.kept: set[str] = set()
         #: machines proved since the last look
         self.proved: list[int] = []
         self._by_index: dict[int, Machine] = {}
--- a/src/grebestand/books/jobs.py
+++ b/src/grebestand/books/jobs.py
@@ -5,6 +5,7 @@
 import math
 
 from ..states import JobState, PlaceState
+from ..wire.abroad import Abroad
 from ..wire.jobs import PRIORITIES, JobSpec, Kind, task_name
 from .amounts import size_of
 
@@ -60,10 +61,10 @@
     """A live job. Only tasks that have a place cost an object; the rest are bits and a cursor."""
 
     __slots__ = (
-        "accepted_at", "avoid", "dirty", "displaced", "done", "done_count", "durable", "earned", "errors",
-        "fresh", "granted", "granted_hi", "guaranteed", "hold_until", "image", "places", "preempt_at", "rank",
-        "returned", "runs", "size", "spec", "stages", "started_at", "state", "suspects", "team", "type",
-        "unseen_below", "version", "wait_since", "why_waiting", "zone",
+        "abroad", "abroad_running", "accepted_at", "avoid", "away", "dirty", "displaced", "done", "done_count",
+        "durable", "earned", "errors", "fresh", "granted", "granted_hi", "guaranteed", "guest", "hold_until",
+        "image", "places", "preempt_at", "rank", "returned", "runs", "size", "spec", "stages", "started_at",
+        "state", "suspects", "team", "type", "unseen_below", "version", "wait_since", "why_waiting", "zone",
     )  # fmt: skip
 
     def __init__(self, spec: JobSpec, version: int, accepted_at: float, team: int) -> None:
@@ -89,6 +90,13 @@
         self.runs: list[tuple[int, float]] = []
         #: of a gang that was placed
         self.stages: Stages | None = None
+        #: the cluster named in its live record, and how many of its tasks run there
+        self.abroad: Abroad | None = None
+        self.abroad_running = 0
+        #: another cluster runs it or may come to run it: nothing of it may start here
+        self.away = False
+        #: it is another cluster's
+        self.guest = False
         self.errors = 0
         self.earned = False
         #: how often the whole gang was stopped to make room
@@ -127,7 +135,7 @@
 
     def waiting(self) -> int:
         """Tasks that are neither done nor anywhere."""
-        if not self.live:
+        if not self.live or self.away:
             return 0
         return max(0, self.spec.tasks - self.done_count - len(self.places))
 
@@ -149,7 +157,7 @@
         return place.index < self.granted_hi and (self.granted is None or place.machine in self.granted)
 
     def running(self) -> int:
-        return sum(1 for p in self.places.values() if p.state is PlaceState.RUNNING)
+        return self.abroad_running + sum(1 for p in self.places.values() if p.state is PlaceState.RUNNING)
 
     def take(self) -> int | None:
         """The next waiting task; the caller gives it a place at once."""
--- a/src/grebestand/books/ledger.py
+++ b/src/grebestand/books/ledger.py
@@ -56,7 +56,7 @@
         job = Job(spec, version, accepted_at, team)
         job.zone = self.zones.index(spec.zone) if spec.zone else -1
         job.image = self.image(spec.image, spec.image_gb)
-        job.type = self._classify(job, now)
+        job.type = self.classify(job, now)
         job.wait_since = job.started_at = now
         self.jobs[spec.id] = job
         self.changed = self.arrived = True
@@ -68,7 +68,7 @@
             self.image_gb.append(gigabytes)
         return index
 
-    def _classify(self, job: Job, now: float) -> int:
+    def classify(self, job: Job, now: float) -> int:
         spec = job.spec
         kinds = frozenset(self.machine_types.index(t) for t in spec.types) if spec.types is not None else None
         zone = job.zone if job.zone >= 0 else None
--- a/src/grebestand/decisions/gangs.py
+++ b/src/grebestand/decisions/gangs.py
@@ -151,6 +151,19 @@
             return
         self._start(job, chosen, now)
 
+    def room_for(self, job: Job, now: float) -> list[Machine] | None:
+        """Machines that would take the whole gang now, with nothing stopped for it; None if there are not enough.
+
+        For a gang that is not in the books: another cluster asks.
+        """
+        offers: list[Offer] = []
+        rooms: dict[int, tuple[int, list[Room]]] = {}
+        for m in self.fleet.machines:
+            if self.fleet.usable(m, now) and m.free[0] >= job.size[0]:
+                offers += [o for o in self.offers(job, m, rooms, now) if o.ready]
+        chosen = self.choose(job, offers)
+        return [offer.machine for offer, _ in chosen] if chosen is not None else None
+
     def _may_start(self, job: Job) -> bool:
         """Whether the whole gang is nowhere, and its team's limit leaves room for it."""
         if not job.live or not job.startable():
--- a/src/grebestand/decisions/scheduler.py
+++ b/src/grebestand/decisions/scheduler.py
@@ -75,6 +75,8 @@
         reserved: set[str] = set()
         for m in self.fleet.machines:
             if m.reserved_for is not None:
+                if m.reserved_for in self.fleet.kept and now < m.reserved_until:
+                    continue
                 reserved.add(m.reserved_for)
                 job = self.ledger.jobs.get(m.reserved_for)
                 if now >= m.reserved_until or job is None or not job.live or job.waiting() == 0:
--- a/src/grebestand/doors/users.py
+++ b/src/grebestand/doors/users.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable
+from typing import NamedTuple
 
 import msgspec
 
@@ -43,6 +44,17 @@
     return Answer(status, _json.encode({"error": text}), retry_after)
 
 
+class Known(NamedTuple):
+    """What is known of a job: its state for its user, its counts, and of a live one its record's version."""
+
+    state: JobView
+    done: int = 0
+    running: int = 0
+    version: int = 0
+    #: another cluster runs it, or may come to run it
+    abroad: bool = False
+
+
 class UserDoor:
     def __init__(
         self,
@@ -66,6 +78,8 @@
         self.machine_types = machine_types
         self.counts = counts
         self.finals = finals
+        #: asks whoever runs a gang in another cluster to end it
+        self.recall: Callable[[str], None] = lambda ident: None
         self.features = features
 
     # shared -----------------------------------------------------------------------------------------------
@@ -81,7 +95,7 @@
         self.finals.remember(ident, record)
         return record
 
-    def _lookup(self, ident: str, urgency: Urgency) -> tuple[JobView, int, int, int] | None:
+    def _lookup(self, ident: str, urgency: Urgency) -> Known | None:
         """A job's state as of a moment after the question came, its counts, and its live record's version.
 
         The live record is read first: a job on its way out is then found in one of the two places.
@@ -91,11 +105,12 @@
             found = self.state.get(live_key(ident), urgency)
             if found is not None:
                 done, running = self.counts(ident)
-                return (JobView.RUNNING if running else JobView.PENDING), done, running, found.version
+                view = JobView.RUNNING if running else JobView.PENDING
+                return Known(view, done, running, found.version, found.value.get("abroad") is not None)
             known = self._final(ident, urgency)
         if known is None:
             return None
-        return known.state, (known.tasks if known.state is JobView.DONE else 0), 0, 0
+        return Known(known.state, known.tasks if known.state is JobView.DONE else 0)
 
     @staticmethod
     def _view(status: int, ident: str, state: JobView, done: int, running: int) -> Answer:
@@ -203,13 +218,15 @@
                 known = self._lookup(ident, Urgency.ACCEPT)
                 if known is None:
                     return _error(404, "no such job")
-                state, done, _, version = known
-                if state in (JobView.DONE, JobView.CANCELLED):
-                    return Answer(200, _json.encode(JobAnswer(ident, state)))
-                record = OverRecord(JobView.CANCELLED, done)
+                if known.state in (JobView.DONE, JobView.CANCELLED):
+                    return Answer(200, _json.encode(JobAnswer(ident, known.state)))
+                if known.abroad:
+                    self.recall(ident)
+                    return _error(503, "another cluster runs it and is asked to end it", 2)
+                record = OverRecord(JobView.CANCELLED, known.done)
                 try:
                     _, failed = self.state.commit(
-                        [at(live_key(ident), version), absent(over_key(ident))],
+                        [at(live_key(ident), known.version), absent(over_key(ident))],
                         [delete(live_key(ident)), put(over_key(ident), msgspec.to_builtins(record))],
                         Urgency.ACCEPT,
                     )
--- /dev/null
+++ b/src/grebestand/federation/breaker.py
@@ -0,0 +1,54 @@
+"""How well another cluster answers, as a state with a name: one that does not is left alone for growing pauses."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable
+
+from ..states import step
+from .states import BREAKER_STEPS, BreakerState
+
+log = logging.getLogger("grebestand.federation")
+
+#: failures in a row that open it, and the shortest and longest pause, in seconds
+FAILURES, SHORTEST_S, LONGEST_S = 3, 2.0, 120.0
+
+
+class Breaker:
+    def __init__(self, name: str, clock: Callable[[], float], rng: random.Random) -> None:
+        self.name = name
+        self.clock = clock
+        self.rng = rng
+        self.state = BreakerState.CLOSED
+        self._failures = 0
+        self._pause_s = SHORTEST_S
+        self._until = 0.0
+
+    def move(self, new: BreakerState, why: str) -> None:
+        """The one function that changes the state."""
+        step(BREAKER_STEPS, self.state, new, f"breaker of {self.name}")
+        log.info("cluster %s: %s -> %s: %s", self.name, self.state.name, new.name, why)
+        self.state = new
+
+    def lets(self) -> bool:
+        """Whether the cluster may be asked now; after a pause, one question at a time."""
+        if self.state is BreakerState.OPEN and self.clock() >= self._until:
+            self.move(BreakerState.TRYING, "the pause is over")
+            return True
+        return self.state is BreakerState.CLOSED
+
+    def answered(self) -> None:
+        self._failures = 0
+        if self.state is BreakerState.TRYING:
+            self._pause_s = SHORTEST_S
+            self.move(BreakerState.CLOSED, "it answers")
+
+    def failed(self, why: str) -> None:
+        self._failures += 1
+        if self.state is BreakerState.OPEN or (self.state is BreakerState.CLOSED and self._failures < FAILURES):
+            return
+        # drawn from half to one and a half times, so that those that lost the same link do not come back together
+        self._until = self.clock() + self._pause_s * (0.5 + self.rng.random())
+        self._pause_s = min(LONGEST_S, 2 * self._pause_s)
+        self.move(BreakerState.OPEN, why)
--- /dev/null
+++ b/src/grebestand/federation/guest.py
@@ -0,0 +1,290 @@
+"""The guest cluster's side: keeps room for another's gang until a time, and runs it once home's decision is proved.
+
+A reservation lives in the leader's memory only: what is lost with it is room, never a promise. Its id is drawn
+here, and only a commit that carries it can start anything, so a commit that no reservation of this term matches,
+and no record either, proves that nothing runs under it and nothing ever will. Once the gang is taken in, one
+transaction makes it a job of this cluster and records whose it is; from there on it is run, ended and answered for
+like any other job.
+"""
+
+from __future__ import annotations
+
+import logging
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from ..books.jobs import Job
+from ..books.machine import Machine
+from ..leading.leadership import Fenced
+from ..leading.term import Term
+from ..limits.budget import Urgency
+from ..outside.state import StateError, absent, at, delete, put
+from ..records.jobs import LiveRecord, live_key, over_key
+from ..states import step
+from ..wire.jobs import JobSpec, JobView
+from .messages import Ask, Commit, Ended, Forget, Message, Offer, Recall, Refused, Reply, Reserved, Running, Unsure
+from .states import GUEST_STEPS, GuestState
+
+log = logging.getLogger("grebestand.federation")
+
+PREFIX = "federation/guest/"
+NO_SUCH = "no such reservation"
+
+
+class GuestRecord(msgspec.Struct):
+    """A gang of another cluster that was taken in: whose it is, and the job that it is here."""
+
+    home: str
+    ref: str
+    id: str
+    job: str
+
+
+def guest_key(ident: str) -> str:
+    return PREFIX + ident
+
+
+@dataclass
+class Reservation:
+    """Machines kept for one gang of another cluster."""
+
+    home: str
+    #: what home calls the gang, its description here, and the reservation's id
+    ref: str
+    spec: JobSpec
+    id: str
+    until: float
+    machines: list[Machine]
+    state: GuestState = GuestState.RESERVED
+
+    @property
+    def job(self) -> str:
+        """What the gang is called here."""
+        return self.spec.id
+
+
+@dataclass
+class GuestLimits:
+    #: clusters that may send gangs, the team whose limit their tasks count against, and its class here
+    homes: frozenset[str]
+    team: str
+    reserve_s: float = 15.0
+    #: a gang that has no room here for so long is given back
+    give_back_s: float = 60.0
+    most_reserved: int = 8
+    most_guests: int = 64
+
+
+class Guest:
+    """The guests of one leader's term. A new leader begins with what the records say."""
+
+    def __init__(self, name: str, term: Term, limits: GuestLimits, cancel: Callable[[str], bool]) -> None:
+        self.name = name
+        self.term = term
+        self.limits = limits
+        #: ends a job of this cluster as a user's cancellation would; whether it is over now
+        self.cancel = cancel
+        self.reservations: dict[str, Reservation] = {}
+        self.records: dict[str, GuestRecord] = {}
+        for pair in term.pen.state.pairs(PREFIX):
+            record = msgspec.convert(pair.value, GuestRecord)
+            self.records[record.id] = record
+            job = term.ledger.jobs.get(record.job)
+            if job is not None:
+                job.guest = True
+
+    def move(self, r: Reservation, new: GuestState, why: str) -> None:
+        """The one function that changes a reservation's state; its machines are free again once it is none."""
+        step(GUEST_STEPS, r.state, new, f"reservation of {r.home} for {r.ref}")
+        log.info("reservation of %s for %s: %s -> %s: %s", r.home, r.ref, r.state.name, new.name, why)
+        r.state = new
+        if new in (GuestState.RELEASED, GuestState.STARTED):
+            self.reservations.pop(r.id, None)
+            self.term.fleet.kept.discard(r.job)
+        if new is GuestState.RELEASED:
+            for m in r.machines:
+                if m.reserved_for == r.job:
+                    m.reserved_for = None
+            self.term.ledger.changed = True
+
+    # messages ---------------------------------------------------------------------------------------------
+
+    def answer(self, message: Message) -> Reply:
+        """What this cluster says. Only a leader that may act answers; anybody else is unsure."""
+        if not self.term.loaded or not self.term.pen.entitled():
+            return Unsure("not leading")
+        try:
+            match message:
+                case Offer():
+                    return self._reserve(message)
+                case Commit():
+                    return self._start(message)
+                case Ask():
+                    return self._tell(message)
+                case Recall():
+                    return self._recall(message)
+                case Forget():
+                    return self._forget(message)
+        except (StateError, Fenced) as e:
+            return Unsure(str(e))
+
+    def _reserve(self, offer: Offer) -> Reply:
+        spec, limits = offer.spec, self.limits
+        if offer.home not in limits.homes:
+            return Refused("not a cluster whose gangs are taken")
+        if self.name in offer.path:
+            return Refused("it has been offered through here already")
+        if len(self.reservations) >= limits.most_reserved or len(self.records) >= limits.most_guests:
+            return Refused("as many as are allowed")
+        if any(r.home == offer.home and r.ref == spec.id for r in self.reservations.values()):
+            return Refused("room is kept for it already")
+        now = self.term.clock()
+        team = self.term.ledger.team_names.find(limits.team)
+        job = self._job(spec, now)
+        if team is None or self.term.ledger.teams[team].headroom(job.size) < spec.tasks:
+            return Refused("the guests' limit is used up")
+        chosen = self.term.scheduler.gangs.room_for(job, now)
+        if chosen is None:
+            return Refused("no room")
+        ident = secrets.token_hex(16)
+        until = now + limits.reserve_s
+        for m in chosen:
+            m.reserved_for, m.reserved_until = job.spec.id, until
+        self.term.fleet.kept.add(job.spec.id)
+        self.reservations[ident] = Reservation(offer.home, spec.id, job.spec, ident, until, chosen)
+        log.info("reservation of %s for %s: %d machines", offer.home, spec.id, len(chosen))
+        return Reserved(ident, limits.reserve_s)
+
+    def _job(self, spec: JobSpec, now: float) -> Job:
+        """The gang as a job of this cluster would be: under a reference of its own and the guests' team.
+
+        The reference is drawn; the transaction that takes it in requires that nobody here has used it.
+        """
+        here = msgspec.structs.replace(
+            spec,
+            id=f"j-{secrets.randbelow(10**19) + 9 * 10**19}",
+            team=self.limits.team,
+            types=None,
+            zone=None,
+        )
+        ledger = self.term.ledger
+        job = Job(here, 0, now, ledger.team_names.index(here.team))
+        job.image = ledger.image(here.image, here.image_gb)
+        job.type = ledger.classify(job, now)
+        return job
+
+    def _start(self, commit: Commit) -> Reply:
+        """Home's proof. Saying it twice starts nothing twice."""
+        record = self.records.get(commit.id)
+        if record is not None:
+            return self._status(record)
+        r = self.reservations.get(commit.id)
+        if r is None or r.home != commit.home:
+            return Refused(NO_SUCH)
+        if r.state is GuestState.RESERVED:
+            if self.term.clock() >= r.until:
+                self.move(r, GuestState.RELEASED, "its time was over")
+                return Refused(NO_SUCH)
+            self.move(r, GuestState.STARTING, "decided at home")
+        # a write that nobody answered may still be carried out: it is made again under the same names until it is known
+        record = GuestRecord(r.home, commit.ref, r.id, r.job)
+        live = LiveRecord(r.spec, self.term.wall())
+        conditions = [absent(guest_key(r.id)), absent(live_key(r.job)), absent(over_key(r.job))]
+        changes = [
+            put(guest_key(r.id), msgspec.to_builtins(record)),
+            put(live_key(r.job), msgspec.to_builtins(live)),
+        ]
+        _, failed = self.term.pen.commit(conditions, changes, Urgency.ACCEPT)
+        if guest_key(r.id) not in failed and failed:
+            self.move(r, GuestState.RELEASED, "its reference is taken here")
+            return Refused(NO_SUCH)
+        self.records[r.id] = record
+        self.move(r, GuestState.STARTED, "taken in")
+        self._adopt(record)
+        return self._status(record)
+
+    def _adopt(self, record: GuestRecord) -> None:
+        """Puts the new job into the books at once; the watch would bring it a moment later."""
+        found = self.term.pen.state.get(live_key(record.job), Urgency.ACCEPT)
+        if found is not None:
+            self.term.jobs.take(found.value, found.version, self.term.clock())
+            job = self.term.ledger.jobs.get(record.job)
+            if job is not None:
+                job.guest = True
+
+    def _tell(self, ask: Ask) -> Reply:
+        record = self.records.get(ask.id)
+        if record is not None:
+            return self._status(record)
+        return Running(0) if ask.id in self.reservations else Refused(NO_SUCH)
+
+    def _status(self, record: GuestRecord) -> Reply:
+        """By the books, and by the durable record once the job has left them."""
+        job = self.term.ledger.jobs.get(record.job)
+        if job is not None and job.live:
+            return Running(job.running())
+        final = self.term.finals.get(record.job)
+        if final is None:
+            found = self.term.pen.state.get(over_key(record.job), Urgency.POLL)
+            if found is None:
+                return Unsure("its end is being recorded")
+            done = found.value["state"] == JobView.DONE.value
+        else:
+            done = final.state is JobView.DONE
+        if not done and job is not None and job.places:
+            return Unsure("its tasks are being stopped")  # given back only once no task of it is left
+        return Ended(done)
+
+    def _recall(self, recall: Recall) -> Reply:
+        record = self.records.get(recall.id)
+        if record is None:
+            r = self.reservations.get(recall.id)
+            if r is not None and r.state is GuestState.STARTING:
+                return Unsure("it is being taken in")
+            if r is not None:
+                self.move(r, GuestState.RELEASED, "not needed")
+            return Refused(NO_SUCH)
+        status = self._status(record)
+        if isinstance(status, Running):
+            if not self.cancel(record.job):
+                return Unsure("it cannot be ended now")
+            self.term.jobs.watch()
+            status = self._status(record)
+        return status
+
+    def _forget(self, forget: Forget) -> Reply:
+        record = self.records.get(forget.id)
+        if record is None:
+            return Refused(NO_SUCH)
+        if not isinstance(self._status(record), Ended):
+            return Unsure("it is not over")
+        found = self.term.pen.state.get(guest_key(record.id), Urgency.PROGRESS)
+        if found is not None:
+            self.term.pen.commit(
+                [at(guest_key(record.id), found.version)], [delete(guest_key(record.id))], Urgency.PROGRESS
+            )
+        del self.records[record.id]
+        return Refused(NO_SUCH)
+
+    # steps ------------------------------------------------------------------------------------------------
+
+    def step(self) -> None:
+        """Ends reservations whose time is over, and gives back guests that find no room; a loop of the leader."""
+        if not self.term.pen.entitled():
+            return
+        now = self.term.clock()
+        for r in list(self.reservations.values()):
+            if r.state is GuestState.RESERVED and now >= r.until:
+                self.move(r, GuestState.RELEASED, "its time is over")
+        for record in self.records.values():
+            job = self.term.ledger.jobs.get(record.job)
+            if job is None or not job.live or job.places:
+                continue
+            if job.startable() == job.spec.tasks and now - job.wait_since > self.limits.give_back_s:
+                log.info(
+                    "guest %s of %s is given back: no room for %.0f s", record.ref, record.home, now - job.wait_since
+                )
+                self.cancel(record.job)
--- /dev/null
+++ b/src/grebestand/federation/home.py
@@ -0,0 +1,364 @@
+"""Home's side: which gangs are offered, the one decision for each, and what follows from what the other cluster says.
+
+The decision is one conditional write of the leader: the gang's live record names the cluster and the reservation. A
+user's cancellation, a done and the decision all compete for that one key, so exactly one of them holds. From before
+the write is sent until it is proved that the cluster does not run the gang any more, the job is `away`: nothing of
+it starts at home.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import msgspec
+
+from ..books.jobs import Job
+from ..leading.leadership import Fenced
+from ..leading.term import Term
+from ..limits.budget import Urgency
+from ..outside.state import StateError, absent, at, delete, put
+from ..records.jobs import LiveRecord, OverRecord, live_key, over_key
+from ..states import JobState, step
+from ..wire.abroad import Abroad
+from ..wire.jobs import JobView
+from .breaker import Breaker
+from .messages import Ask, Commit, Ended, Forget, Message, Offer, Recall, Refused, Reply, Reserved, Running
+from .states import HOME_STEPS, HomeState
+
+log = logging.getLogger("grebestand.federation")
+
+#: clusters that one gang is offered to at a time, and offers for each gang until it is left at home for good
+AT_ONCE, MOST_OFFERS = 2, 12
+#: between two offers of one gang, growing, and between two questions about one that is abroad, in seconds
+OFFER_AGAIN_S, ASK_S = 5.0, 2.0
+
+
+class Link(Protocol):
+    """The way to another cluster: the answer, or None if there was none that can be relied on."""
+
+    def tell(self, message: Message) -> Reply | None: ...
+
+
+@dataclass
+class Cluster:
+    """Another cluster, as home sees it."""
+
+    name: str
+    link: Link
+    breaker: Breaker
+    #: whole machines it had free when it last told, and when that was
+    free: float = 0.0
+    told_at: float = -math.inf
+
+
+@dataclass
+class Limits:
+    """The operators' values of the moment."""
+
+    overflow_after_s: Callable[[Job, float], float]
+    #: gangs that may be out as offers at a time, and offers a second
+    most_out: int = 8
+    offers_per_s: float = 4.0
+
+
+@dataclass
+class Trip:
+    """What home knows of one gang that it has offered, or that is abroad."""
+
+    job: Job
+    state: HomeState = HomeState.WAITING
+    number: int = 0
+    offers: int = 0
+    next_at: float = -math.inf
+    #: while offered: who has reserved, and under which id
+    reserved: dict[str, str] = field(default_factory=dict)
+    #: from the decision on
+    abroad: Abroad | None = None
+    #: its user wants it cancelled
+    recalled: bool = False
+    #: how it ended there, once that is proved
+    done: bool = False
+
+
+class Home:
+    """The gangs of one leader's term. A new leader begins with what the live records name."""
+
+    def __init__(self, name: str, term: Term, clusters: list[Cluster], limits: Limits, rng: random.Random) -> None:
+        self.name = name
+        self.term = term
+        self.clusters = {c.name: c for c in clusters}
+        self.limits = limits
+        self.rng = rng
+        self.trips: dict[str, Trip] = {}
+        #: done elsewhere: the other cluster's record may go once home's is durable
+        self._settled: list[tuple[str, str, str]] = []
+        self._numbers = 0
+        self._tokens, self._tokens_at = limits.offers_per_s, term.clock()
+        for job in term.ledger.jobs.values():
+            if job.abroad is not None:
+                trip = self.trips[job.spec.id] = Trip(job, abroad=job.abroad)
+                # whether the news was ever told is not on record, so it is told again: that changes nothing twice
+                self.move(trip, HomeState.COMMITTED, "on record")
+
+    def move(self, trip: Trip, new: HomeState, why: str) -> None:
+        """The one function that changes where a gang's decision stands."""
+        if trip.state is new:
+            return
+        ident = trip.job.spec.id
+        step(HOME_STEPS, trip.state, new, ident)
+        log.info("gang %s: %s -> %s: %s", ident, trip.state.name, new.name, why)
+        trip.state = new
+        trip.job.away = new not in (HomeState.WAITING, HomeState.OFFERED, HomeState.OVER)
+        if new is HomeState.WAITING:
+            trip.abroad = trip.job.abroad = None
+            trip.job.abroad_running = 0
+            trip.next_at = self.term.clock() + OFFER_AGAIN_S * 2 ** min(5, trip.offers) * (0.5 + self.rng.random())
+            self.term.ledger.changed = True
+        elif new is HomeState.OVER:
+            self.trips.pop(ident, None)
+
+    def recall(self, ref: str) -> None:
+        """A user has asked to cancel a gang that is abroad."""
+        trip = self.trips.get(ref)
+        if trip is not None:
+            trip.recalled = True
+            trip.next_at = -math.inf
+
+    # steps ------------------------------------------------------------------------------------------------
+
+    def step(self) -> None:
+        """Moves every gang on as far as it goes now; a loop of the leader."""
+        if not self.term.pen.entitled():
+            return
+        now = self.term.clock()
+        for trip in list(self.trips.values()):
+            if trip.next_at <= now:
+                self._go_on(trip)
+        self._forget()
+        self._offer_more(now)
+
+    def _go_on(self, trip: Trip) -> None:
+        try:
+            if not trip.job.live and trip.state in (HomeState.WAITING, HomeState.OFFERED):
+                self._release(trip)
+                self.move(trip, HomeState.OVER, "it is over at home")
+            elif trip.state is HomeState.DECIDING:
+                self._settle(trip)
+            elif trip.state is HomeState.COMMITTED:
+                self._tell(trip)
+            elif trip.state is HomeState.ABROAD:
+                self._follow(trip)
+            elif trip.state is HomeState.RETURNING:
+                self._return(trip)
+        except (StateError, Fenced) as e:
+            log.info("gang %s stays %s: %s", trip.job.spec.id, trip.state.name, e)
+            trip.next_at = self.term.clock() + 1.0
+
+    # offering ---------------------------------------------------------------------------------------------
+
+    def eligible(self, job: Job, now: float) -> bool:
+        """Whole, provably nowhere, and waiting for longer than the operators' expression says."""
+        return (
+            job.gang
+            and job.live
+            and not job.away
+            and not job.guest
+            and not job.places
+            and job.startable() == job.spec.tasks
+            and now - job.accepted_at >= self.limits.overflow_after_s(job, now)
+        )
+
+    def _offer_more(self, now: float) -> None:
+        """Offers the gangs that have waited longest, within the bounds; a flood of them makes no stampede."""
+        self._tokens = min(self.limits.offers_per_s, self._tokens + (now - self._tokens_at) * self.limits.offers_per_s)
+        self._tokens_at = now
+        out = sum(1 for t in self.trips.values() if t.state is not HomeState.WAITING)
+        due = [j for j in self.term.ledger.waiting_jobs() if self.eligible(j, now)]
+        due.sort(key=lambda j: (j.accepted_at, j.spec.id))
+        for job in due:
+            trip = self.trips.get(job.spec.id) or Trip(job)
+            if trip.state is not HomeState.WAITING or trip.next_at > now or trip.offers >= MOST_OFFERS:
+                continue
+            asked = [c for c in self._ranked(job) if c.breaker.lets()][:AT_ONCE]
+            if out >= self.limits.most_out or self._tokens < len(asked) or not asked:
+                return
+            self.trips[job.spec.id] = trip
+            self._tokens -= len(asked)
+            out += 1
+            self._offer(trip, asked)
+
+    def _ranked(self, job: Job) -> list[Cluster]:
+        """Who is asked first: room for the gang as last told, recently, then by name."""
+        now = self.term.clock()
+        return sorted(
+            self.clusters.values(),
+            key=lambda c: (c.free < job.spec.tasks, now - c.told_at > 30.0, -c.free, c.name),
+        )
+
+    def _offer(self, trip: Trip, asked: list[Cluster]) -> None:
+        self._numbers += 1
+        trip.number, trip.reserved = self._numbers, {}
+        trip.offers += len(asked)
+        self.move(trip, HomeState.OFFERED, f"offered to {', '.join(c.name for c in asked)}")
+        message = Offer(self.name, trip.number, trip.job.spec, [self.name])
+        for cluster in asked:
+            answer = self._ask(cluster, message)
+            if isinstance(answer, Reserved):
+                trip.reserved[cluster.name] = answer.id
+        self._decide(trip)
+
+    def _ask(self, cluster: Cluster, message: Message) -> Reply | None:
+        answer = cluster.link.tell(message)
+        if answer is None:
+            cluster.breaker.failed("no answer")
+        else:
+            cluster.breaker.answered()
+        return answer
+
+    def _release(self, trip: Trip, but: str | None = None) -> None:
+        """Reservations that are not used end at once; if the word is lost, they end by themselves."""
+        for name, ident in trip.reserved.items():
+            if name != but:
+                self._ask(self.clusters[name], Recall(self.name, trip.job.spec.id, ident))
+        trip.reserved = {}
+
+    # the decision -----------------------------------------------------------------------------------------
+
+    def _decide(self, trip: Trip) -> None:
+        """Names one cluster, unless the gang has found its room at home while the offer was out."""
+        job = trip.job
+        chosen = next(iter(trip.reserved), None)
+        if chosen is None or job.places or not job.live or job.startable() != job.spec.tasks:
+            self._release(trip)
+            self.move(trip, HomeState.WAITING, "no room elsewhere" if chosen is None else "it starts at home")
+            return
+        trip.abroad = Abroad(chosen, trip.reserved[chosen])
+        self.move(trip, HomeState.DECIDING, f"{chosen} has room")
+        try:
+            self._write(trip, trip.abroad)
+        except (StateError, Fenced) as e:
+            log.info("gang %s: whether %s was named is not known: %s", job.spec.id, chosen, e)
+            trip.next_at = self.term.clock() + 0.5
+            return
+        self._release(trip, but=chosen)
+        if trip.state is HomeState.COMMITTED:
+            self._go_on(trip)
+
+    def _write(self, trip: Trip, abroad: Abroad | None) -> None:
+        """Sets or clears the name in the live record, conditional on the record as this leader knows it."""
+        job = trip.job
+        ident = job.spec.id
+        record = LiveRecord(job.spec, self.term.wall() - (self.term.clock() - job.accepted_at), abroad)
+        change = put(live_key(ident), msgspec.to_builtins(record))
+        version, failed = self.term.pen.commit([at(live_key(ident), job.version)], [change], Urgency.ACCEPT)
+        if not failed:
+            job.version = version
+            job.abroad = abroad
+            self.move(trip, HomeState.COMMITTED if abroad else HomeState.WAITING, "on record")
+        else:
+            self._reread(trip)
+
+    def _reread(self, trip: Trip) -> None:
+        """The record is another than this leader knew: a user's cancellation won, or an earlier write was made."""
+        job = trip.job
+        found = self.term.pen.state.get(live_key(job.spec.id), Urgency.ACCEPT)
+        if found is None:
+            self.move(trip, HomeState.OVER, "it was cancelled first")
+            return
+        record = msgspec.convert(found.value, LiveRecord)
+        job.version, job.abroad = found.version, record.abroad
+        if record.abroad is not None:
+            trip.abroad = record.abroad
+            if trip.state is HomeState.DECIDING:
+                self.move(trip, HomeState.COMMITTED, "on record")
+        else:
+            self.move(trip, HomeState.WAITING, "on record")
+
+    def _settle(self, trip: Trip) -> None:
+        """A decision whose write nobody answered may still be carried out: a write on the same version rules that out,
+        or fails because it has been."""
+        self._write(trip, None)
+        if trip.state is HomeState.WAITING:
+            self._release(trip)
+
+    # abroad -----------------------------------------------------------------------------------------------
+
+    def _away(self, trip: Trip) -> tuple[Cluster | None, Abroad]:
+        assert trip.abroad is not None
+        return self.clusters.get(trip.abroad.cluster), trip.abroad
+
+    def _tell(self, trip: Trip) -> None:
+        """The news of the decision, again and again until it is answered."""
+        cluster, abroad = self._away(trip)
+        kind = Recall if trip.recalled else Commit
+        self._take(trip, cluster, kind(self.name, trip.job.spec.id, abroad.id))
+
+    def _follow(self, trip: Trip) -> None:
+        cluster, abroad = self._away(trip)
+        kind = Recall if trip.recalled else Ask
+        self._take(trip, cluster, kind(self.name, trip.job.spec.id, abroad.id))
+
+    def _take(self, trip: Trip, cluster: Cluster | None, message: Message) -> None:
+        trip.next_at = self.term.clock() + ASK_S * (0.75 + 0.5 * self.rng.random())
+        if cluster is None or not (trip.recalled or cluster.breaker.lets()):
+            return  # not listed any more, or left alone for a while: it may run it all the same
+        answer = self._ask(cluster, message)
+        if isinstance(answer, Running):
+            trip.job.abroad_running = answer.running
+            if trip.state is HomeState.COMMITTED:
+                self.move(trip, HomeState.ABROAD, f"{cluster.name} runs it")
+        elif isinstance(answer, Ended | Refused):
+            trip.done = isinstance(answer, Ended) and answer.done
+            why = "done there" if trip.done else "given back" if isinstance(answer, Ended) else answer.why
+            self.move(trip, HomeState.RETURNING, why)
+            self._go_on(trip)
+
+    def _return(self, trip: Trip) -> None:
+        """The cluster has proved that nothing of it runs there: done, cancelled for its user, or at home again."""
+        job = trip.job
+        _, abroad = self._away(trip)
+        now = self.term.clock()
+        if trip.done:
+            for index in range(job.spec.tasks):
+                self.term.ledger.mark_done(job, index, now)
+            if job.live:
+                self.term.ledger.move_job(job, JobState.CLOSING, now)
+            self.move(trip, HomeState.OVER, "done")
+        elif trip.recalled:
+            self._cancel(trip)
+        else:
+            self._write(trip, None)
+        if trip.state is not HomeState.RETURNING:
+            self._settled.append((abroad.cluster, job.spec.id, abroad.id))
+
+    def _forget(self) -> None:
+        """Tells the others what they need not keep any more: home's record no longer names their reservation."""
+        for entry in list(self._settled):
+            name, ref, ident = entry
+            job = self.term.ledger.jobs.get(ref)
+            if job is not None and job.abroad is not None:
+                continue  # its end is not on record yet
+            self._settled.remove(entry)
+            if name in self.clusters:  # if the word is lost, the record there stays until its operators settle it
+                self._ask(self.clusters[name], Forget(self.name, ref, ident))
+
+    def _cancel(self, trip: Trip) -> None:
+        """What the user was not told yet: from here on it is cancelled."""
+        job = trip.job
+        ident = job.spec.id
+        record = OverRecord(JobView.CANCELLED, 0)
+        changes = [delete(live_key(ident)), put(over_key(ident), msgspec.to_builtins(record))]
+        _, failed = self.term.pen.commit(
+            [at(live_key(ident), job.version), absent(over_key(ident))], changes, Urgency.ACCEPT
+        )
+        if failed:
+            self._reread(trip)
+            return
+        self.term.finals.remember(ident, record)
+        self.term.dispatch.cancel(job, self.term.clock())
+        self.move(trip, HomeState.OVER, "cancelled for its user")
--- /dev/null
+++ b/src/grebestand/federation/messages.py
@@ -0,0 +1,132 @@
+"""What two clusters tell each other, and the bounds that a message has to keep before anything is done with it.
+
+A reservation's id is drawn by the guest and names that one reservation for ever. Only it lets a commit start anything,
+so that an offer or a commit that the network delivers again, or minutes late, finds nothing to start.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..wire.jobs import JOB_ID, JobSpec, Kind, Malformed, check_spec
+
+#: a message may be this long, in bytes; a description of a job is a few hundred
+MOST_BYTES = 16 * 1024
+#: names of clusters, and clusters that a gang may have passed through
+MOST_NAME, MOST_PATH = 100, 8
+
+
+class Offer(msgspec.Struct, tag="offer", frozen=True):
+    """Would you keep room for this gang, whole? Nothing may be started for it."""
+
+    home: str
+    number: int
+    spec: JobSpec
+    #: clusters that it has been offered through, home first
+    path: list[str]
+
+
+class Commit(msgspec.Struct, tag="commit", frozen=True):
+    """Home has decided, durably, for this reservation: the proof that it may start."""
+
+    home: str
+    ref: str
+    id: str
+
+
+class Ask(msgspec.Struct, tag="ask", frozen=True):
+    home: str
+    ref: str
+    id: str
+
+
+class Recall(msgspec.Struct, tag="recall", frozen=True):
+    """End it, whatever it is; the answer says how it ended, or proves that it never starts."""
+
+    home: str
+    ref: str
+    id: str
+
+
+class Forget(msgspec.Struct, tag="forget", frozen=True):
+    """Home has its durable record of the end: the guest's may go."""
+
+    home: str
+    ref: str
+    id: str
+
+
+Message = Offer | Commit | Ask | Recall | Forget
+
+
+class Reserved(msgspec.Struct, tag="reserved", frozen=True):
+    id: str
+    #: room is kept for so many seconds by the guest's clock
+    for_s: float
+
+
+class Refused(msgspec.Struct, tag="refused", frozen=True):
+    """Not taken; for a commit, an ask or a recall it also proves that nothing starts under this id any more."""
+
+    why: str
+
+
+class Running(msgspec.Struct, tag="running", frozen=True):
+    """It is a job of the guest's; so many of its tasks run."""
+
+    running: int
+
+
+class Ended(msgspec.Struct, tag="ended", frozen=True):
+    """It is over there: done, or else the guest has given it back and no task of it is left."""
+
+    done: bool
+
+
+class Unsure(msgspec.Struct, tag="unsure", frozen=True):
+    """Cannot be told now, or not by this controller; nothing follows from it."""
+
+    why: str
+
+
+Reply = Reserved | Refused | Running | Ended | Unsure
+
+_message = msgspec.msgpack.Decoder(Message)
+_reply = msgspec.msgpack.Decoder(Reply)
+
+
+class Unfit(ValueError):
+    """A message that is too large, malformed or not allowed; it has changed nothing."""
+
+
+def decode(body: bytes) -> Message:
+    """The message, or `Unfit`. Bounds are held before decoding, so that nothing large is ever built."""
+    if len(body) > MOST_BYTES:
+        raise Unfit(f"a message of {len(body)} bytes, {MOST_BYTES} are allowed")
+    try:
+        found = _message.decode(body)
+    except (msgspec.DecodeError, RecursionError) as e:
+        raise Unfit(f"malformed: {e}") from e
+    if not 0 < len(found.home) <= MOST_NAME or not found.home.isprintable():
+        raise Unfit("the home's name is empty, too long or unprintable")
+    if isinstance(found, Offer):
+        if len(found.path) > MOST_PATH or any(not 0 < len(name) <= MOST_NAME for name in found.path):
+            raise Unfit("the path is too long")
+        try:
+            check_spec(found.spec)
+        except Malformed as e:
+            raise Unfit(str(e)) from e
+        if found.spec.kind is not Kind.GANG:
+            raise Unfit("only gangs are offered")
+    elif not JOB_ID.match(found.ref) or len(found.id) != 32:
+        raise Unfit("malformed reference or reservation")
+    return found
+
+
+def decode_reply(body: bytes) -> Reply:
+    if len(body) > MOST_BYTES:
+        raise Unfit("an answer that is too long")
+    try:
+        return _reply.decode(body)
+    except (msgspec.DecodeError, RecursionError) as e:
+        raise Unfit(f"malformed answer: {e}") from e
--- a/src/grebestand/leading/live_jobs.py
+++ b/src/grebestand/leading/live_jobs.py
@@ -23,13 +23,15 @@
         #: the revision up to which changes are known
         self.watched = 0
 
-    def _take_job(self, value: object, version: int, now: float) -> None:
+    def take(self, value: object, version: int, now: float) -> None:
         record = msgspec.convert(value, LiveRecord)
         if record.spec.id in self.ledger.jobs:
             return
         age = min(max(0.0, self.basis.wall() - record.at), 86400.0)
         job = self.ledger.add(record.spec, version, now - age, now)
         job.wait_since = now
+        if record.abroad is not None:
+            job.abroad, job.away = record.abroad, True
 
     def watch(self) -> None:
         """Follows the live records: new jobs, and removals by whichever controller was asked to cancel."""
@@ -45,7 +47,7 @@
 
     def _take_event(self, event: Event, now: float) -> None:
         if event.put is not None:
-            self._take_job(event.value, event.version, now)
+            self.take(event.value, event.version, now)
         elif event.delete is not None:
             self._removed(event.delete[5:], now)
 
@@ -67,7 +69,7 @@
             first = first or page.revision
             for pair in page.items:
                 seen.add(pair.key[5:])
-                self._take_job(pair.value, pair.version, now)
+                self.take(pair.value, pair.version, now)
         self.watched = first
         return seen
 
--- a/src/grebestand/records/jobs.py
+++ b/src/grebestand/records/jobs.py
@@ -4,14 +4,17 @@
 
 import msgspec
 
+from ..wire.abroad import Abroad
 from ..wire.jobs import JobSpec, JobView
 
 
-class LiveRecord(msgspec.Struct):
+class LiveRecord(msgspec.Struct, omit_defaults=True):
     """The durable record of an accepted job."""
 
     spec: JobSpec
     at: float
+    #: while this is set, nothing of the job may start here
+    abroad: Abroad | None = None
 
 
 class OverRecord(msgspec.Struct):
--- /dev/null
+++ b/src/grebestand/wire/abroad.py
@@ -0,0 +1,12 @@
+"""What a live record says of a gang that another cluster runs, or may come to run."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Abroad(msgspec.Struct, frozen=True):
+    """The cluster that a gang was decided for, and the reservation there that the decision names."""
+
+    cluster: str
+    id: str
--- /dev/null
+++ b/tests/test_federation.py
@@ -0,0 +1,474 @@
+"""Two clusters: a gang goes abroad whole or stays, whatever is lost, late, crashed or decided at the same moment."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import pytest
+
+from grebestand.federation import messages
+from grebestand.federation.breaker import FAILURES, Breaker
+from grebestand.federation.guest import PREFIX, Guest, GuestLimits
+from grebestand.federation.home import MOST_OFFERS, Cluster, Home, Limits
+from grebestand.federation.messages import Ask, Commit, Message, Offer, Recall, Refused, Reply, Reserved, Unfit, Unsure
+from grebestand.federation.states import BreakerState, HomeState
+from grebestand.leading.term import Term
+from grebestand.wire.jobs import decode_spec
+from world import SETTINGS, Clock, Node, World
+
+WIDE = SETTINGS.replace("cpus_max = 64.0", "cpus_max = 640.0")
+
+
+class Side:
+    """One cluster with its present leader."""
+
+    def __init__(self, name: str, clock: Clock, machines: int) -> None:
+        self.name = name
+        self.world = World(WIDE)
+        self.world.clock = clock
+        self.world.state.clock = clock
+        self.workers = [self.world.worker(f"n-{i:06d}") for i in range(machines)]
+        self.rng = random.Random(name)
+        self.links: dict[str, Wire] = {}
+        self.leaders = 0
+        self.lead()
+        self.world.settle(self.term, 3)
+
+    def lead(self) -> None:
+        self.node = Node(self.world, f"{self.name}-{self.leaders}")
+        self.leaders += 1
+        self.term: Term = self.node.lead()
+        self.begin()
+
+    def begin(self) -> None:
+        clusters = [Cluster(name, link, Breaker(name, self.world.clock, self.rng)) for name, link in self.links.items()]
+        self.home = Home(self.name, self.term, clusters, Limits(lambda job, now: 5.0), self.rng)
+        self.guest = Guest(
+            self.name, self.term, GuestLimits(frozenset({"home", "east", "west"}), "blue"),
+            lambda ident: self.node.users.cancel(ident).status == 200,
+        )  # fmt: skip
+
+    def round(self) -> None:
+        self.world.settle(self.term, 1, 0.0)
+        self.home.step()
+        self.guest.step()
+
+
+class Wire:
+    """The way to another cluster, with faults: what is lost, and what is delivered again later."""
+
+    def __init__(self, to: Side) -> None:
+        self.to = to
+        self.drop: Callable[[Message], str] = lambda message: ""
+        self.sent: list[Message] = []
+
+    def tell(self, message: Message) -> Reply | None:
+        fault = self.drop(message)
+        if fault == "request":
+            return None
+        found = messages.decode(msgspec.msgpack.encode(message))
+        self.sent.append(found)
+        answer = self.to.guest.answer(found)
+        return None if fault == "answer" else messages.decode_reply(msgspec.msgpack.encode(answer))
+
+
+class Clusters:
+    """A crowded home and others with room, on one clock."""
+
+    def __init__(self, *others: str) -> None:
+        self.clock = Clock()
+        self.home = Side("home", self.clock, 2)
+        self.others = [Side(name, self.clock, 4) for name in others or ("east",)]
+        self.home.links = {o.name: Wire(o) for o in self.others}
+        self.home.begin()
+        self.filler = self.home.world.accept(self.home.node, shards=2, cpus=15.0, rank="critical")
+        self.go(6)
+        self.gang = self.home.world.accept(self.home.node, shape="ensemble", shards=3, cpus=15.0)
+
+    @property
+    def sides(self) -> list[Side]:
+        return [self.home, *self.others]
+
+    @property
+    def east(self) -> Side:
+        return self.others[0]
+
+    def go(self, rounds: int) -> None:
+        for _ in range(rounds):
+            self.clock.now += 1.0
+            for side in self.sides:
+                side.round()
+            self.check()
+
+    def crash(self, *down: Side) -> None:
+        """These clusters' leaders end; the others go on, and new leaders follow when the holds have run out."""
+        for _ in range(13):
+            self.clock.now += 1.0
+            for side in self.sides:
+                if side not in down:
+                    side.round()
+        for side in down:
+            side.lead()
+        self.check()
+
+    def gangs(self) -> dict[str, list[str]]:
+        """Tasks of the gang that run, by cluster: at home under its own name, elsewhere under the guest's."""
+        found = {}
+        for side in self.sides:
+            names = {self.gang} if side is self.home else {r.job for r in side.guest.records.values()}
+            found[side.name] = [t for w in side.workers for t in w.running() if t.rpartition("/")[0] in names]
+        return found
+
+    def check(self) -> None:
+        """Never split, never twice: all that runs of it runs in one cluster, each task once."""
+        if not hasattr(self, "gang"):
+            return
+        running = {name: tasks for name, tasks in self.gangs().items() if tasks}
+        assert len(running) <= 1, running
+        assert all(len(tasks) == len(set(tasks)) <= 3 for tasks in running.values())
+
+    def runs_in(self) -> str | None:
+        whole = [name for name, tasks in self.gangs().items() if len(tasks) == 3]
+        return whole[0] if whole else None
+
+    def finish(self, side: Side) -> None:
+        for w in side.workers:
+            for task in w.running():
+                w.finish(task)
+
+    def view(self) -> str:
+        return str(msgspec.json.decode(self.home.node.users.poll(self.gang).body)["tide"])
+
+    def until(self, done: Callable[[], bool], most: int = 120) -> None:
+        for _ in range(most):
+            if done():
+                return
+            self.go(1)
+        raise AssertionError(f"not within {most} s")
+
+
+def test_a_gang_without_room_runs_whole_elsewhere_and_is_done_once_at_home() -> None:
+    c = Clusters()
+    c.until(lambda: c.runs_in() == "east")
+    c.go(4)
+    assert c.home.term.ledger.jobs[c.gang].running() == 3
+    assert not c.home.term.ledger.jobs[c.gang].places
+    c.finish(c.east)
+    c.until(lambda: c.view() == "done")
+    c.go(6)
+    assert not c.east.guest.records and not [k for k in c.east.world.state.data if k.startswith(PREFIX)]
+    assert not c.home.home.trips
+
+
+@pytest.mark.parametrize("lost", [False, True])
+def test_two_clusters_say_yes_at_once_and_one_is_named(lost: bool) -> None:
+    """The other's reservation ends at once, or by itself if the word is lost."""
+    c = Clusters("east", "west")
+    if lost:
+        c.home.links["west"].drop = lambda m: "request" if isinstance(m, Recall) else ""
+    c.until(lambda: c.runs_in() is not None)
+    assert c.runs_in() == "east"
+    assert bool(c.others[1].guest.reservations) is lost
+    c.go(20)
+    assert not c.others[1].guest.reservations
+    assert all(m.reserved_for is None for m in c.others[1].term.fleet.machines)
+
+
+@pytest.mark.parametrize("fault", ["request", "answer"])
+@pytest.mark.parametrize("kind", [Offer, Commit, Ask, messages.Forget])
+def test_a_message_that_is_lost_for_a_while_changes_nothing_in_the_end(kind: type, fault: str) -> None:
+    c = Clusters()
+    c.home.links["east"].drop = lambda m: fault if isinstance(m, kind) and c.clock.now < 1060.0 else ""
+    c.until(lambda: c.runs_in() == "east", 200)
+    c.finish(c.east)
+    c.until(lambda: c.view() == "done", 200)
+
+
+def test_home_starts_nothing_while_the_news_may_have_arrived() -> None:
+    """The answer to the commit is lost, and room appears at home: the gang is abroad, and stays there."""
+    c = Clusters()
+    wire = c.home.links["east"]
+    wire.drop = lambda m: "answer" if isinstance(m, Commit | Ask) else ""
+    c.until(lambda: c.runs_in() == "east")
+    for w in c.home.workers:
+        for task in w.running():
+            w.finish(task)
+    c.go(30)
+    assert c.runs_in() == "east" and c.home.home.trips[c.gang].state is HomeState.COMMITTED
+    wire.drop = lambda m: ""
+    c.until(lambda: c.home.home.trips[c.gang].state is HomeState.ABROAD)
+
+
+def test_the_news_that_comes_after_the_reservation_s_end_starts_nothing_and_the_gang_comes_home() -> None:
+    c = Clusters()
+    wire = c.home.links["east"]
+    wire.drop = lambda m: "request" if isinstance(m, Commit) else ""
+    c.until(lambda: c.gang in c.home.home.trips and c.home.home.trips[c.gang].state is HomeState.COMMITTED)
+    assert c.home.term.ledger.jobs[c.gang].startable() == 0
+    c.go(25)
+    wire.drop = lambda m: ""
+    c.until(lambda: not c.home.term.ledger.jobs[c.gang].away or c.runs_in() is not None)
+    c.until(lambda: c.runs_in() is not None)
+
+
+def test_room_that_appears_at_home_while_an_offer_is_out_withdraws_it() -> None:
+    c = Clusters()
+    wire = c.home.links["east"]
+    job = c.home.term.ledger.jobs[c.gang]
+
+    def starts_at_home(message: Message) -> str:
+        if isinstance(message, Offer):
+            for index in range(3):
+                c.home.term.dispatch.start(job, index, c.home.term.fleet.machines[0], 77, c.clock.now)
+        return ""
+
+    wire.drop = starts_at_home
+    c.until(lambda: bool(wire.sent))
+    trip = c.home.home.trips[c.gang]
+    assert trip.state is HomeState.WAITING and not job.away and len(job.places) == 3
+    assert not c.east.guest.reservations
+
+
+@pytest.mark.parametrize("lost", [1, 2])
+def test_a_decision_whose_write_nobody_answered_is_settled_by_another_on_the_same_version(lost: int) -> None:
+    c = Clusters()
+    wire = c.home.links["east"]
+
+    def lose(message: Message) -> str:
+        if isinstance(message, Offer):
+            c.home.world.state.lose_answers = lost
+        return ""
+
+    wire.drop = lose
+    c.until(lambda: bool(wire.sent))
+    assert c.home.term.ledger.jobs[c.gang].startable() == 0
+    wire.drop = lambda m: ""
+    c.until(lambda: c.runs_in() == "east", 200)
+
+
+@pytest.mark.parametrize("step", range(1, 13))
+@pytest.mark.parametrize("who", ["home", "east", "both"])
+def test_leaders_crash_at_every_message_and_the_gang_still_runs_once(who: str, step: int) -> None:
+    """The answer of message number `step` is lost with the leaders; new ones go on from what is on record."""
+    c = Clusters()
+    wire = c.home.links["east"]
+    count = 0
+
+    def crash(message: Message) -> str:
+        nonlocal count
+        count += 1
+        return "answer" if count == step else ""
+
+    wire.drop = crash
+    crashed = False
+    for _ in range(40):
+        c.go(1)
+        if count >= step and not crashed:
+            crashed = True
+            c.crash(*[side for side in (c.home, c.east) if who in (side.name, "both")])
+    c.until(lambda: c.runs_in() is not None, 200)
+    where = c.home if c.runs_in() == "home" else c.east
+    c.finish(where)
+    c.until(lambda: c.view() == "done", 200)
+
+
+def test_an_abort_is_told_only_when_the_other_cluster_has_ended_it() -> None:
+    """While the link is down the user is told at once when to come back; afterwards it is cancelled, and stays so."""
+    c = Clusters()
+    c.until(lambda: c.runs_in() == "east")
+    wire = c.home.links["east"]
+    wire.drop = lambda m: "request"
+    c.home.node.users.recall = c.home.home.recall
+    answer = c.home.node.users.cancel(c.gang)
+    assert answer.status == 503 and answer.retry_after
+    c.go(10)
+    assert c.home.node.users.cancel(c.gang).status == 503 and c.runs_in() == "east"
+    wire.drop = lambda m: ""
+    c.until(lambda: c.home.node.users.cancel(c.gang).status == 200, 20)
+    assert c.view() == "cancelled" and not c.gangs()["east"]
+    c.go(30)
+    assert c.view() == "cancelled" and c.runs_in() is None
+
+
+def test_a_guest_that_finds_no_room_any_more_is_given_back() -> None:
+    c = Clusters()
+    c.until(lambda: c.runs_in() == "east")
+    for w in c.east.workers:
+        w.lapse()
+        w.reachable = False
+    first = {r.id for r in c.east.guest.records.values()}
+    c.until(lambda: not c.home.term.ledger.jobs[c.gang].away, 200)
+    for w in c.east.workers:
+        w.reachable = True
+    c.until(lambda: c.runs_in() == "east", 300)
+    assert not first & {r.id for r in c.east.guest.records.values()}
+
+
+def test_messages_from_before_start_nothing_when_they_come_again() -> None:
+    """Everything that was ever sent is delivered once more, minutes later, in order and in reverse."""
+    c = Clusters()
+    c.until(lambda: c.runs_in() == "east")
+    c.finish(c.east)
+    c.until(lambda: c.view() == "done")
+    c.go(30)
+    old = list(c.home.links["east"].sent)
+    for message in (*old, *reversed(old)):
+        c.east.guest.answer(message)
+    c.go(40)
+    assert not any(c.gangs().values()) and not c.east.guest.reservations and c.view() == "done"
+
+
+def test_a_flood_of_waiting_gangs_makes_no_stampede() -> None:
+    c = Clusters()
+    for _ in range(60):
+        c.home.world.accept(c.home.node, shape="ensemble", shards=3, cpus=15.0)
+    wire = c.home.links["east"]
+    begin = c.clock.now
+    c.go(30)
+    offers = [m for m in wire.sent if isinstance(m, Offer)]
+    assert len(offers) <= 4.0 * (c.clock.now - begin) + 4
+    assert len(c.east.guest.reservations) + len(c.east.guest.records) <= 8
+    c.go(400)
+    per_gang: dict[str, int] = {}
+    for m in wire.sent:
+        if isinstance(m, Offer):
+            per_gang[m.spec.id] = per_gang.get(m.spec.id, 0) + 1
+    assert max(per_gang.values()) <= MOST_OFFERS
+
+
+def test_a_cluster_that_does_not_answer_is_left_alone_for_growing_pauses() -> None:
+    clock = Clock()
+    b = Breaker("east", clock, random.Random(3))
+    pauses = []
+    for _ in range(4):
+        while b.lets():
+            b.failed("no answer")
+        begin = clock.now
+        while not b.lets():
+            clock.now += 0.1
+        pauses.append(clock.now - begin)
+        b.failed("no answer")
+    assert FAILURES > 1 and pauses[-1] > 2 * pauses[0] and b.state is BreakerState.OPEN
+    clock.now += 500.0
+    assert b.lets()
+    b.answered()
+    assert b.state.name == "CLOSED"
+
+
+def offer(c: Clusters, **more: Any) -> Offer:
+    spec = decode_spec(c.home.world.job(shape="ensemble", shards=2, cpus=15.0, **more))
+    return Offer("home", 1, spec, ["home"])
+
+
+def test_what_a_peer_may_not_do_is_refused_and_changes_nothing() -> None:
+    c = Clusters()
+    guest = c.east.guest
+    good = offer(c)
+    assert isinstance(guest.answer(msgspec.structs.replace(good, home="stranger")), Refused)
+    assert isinstance(guest.answer(msgspec.structs.replace(good, path=["home", "east"])), Refused)
+    assert isinstance(guest.answer(Commit("home", c.gang, "0" * 32)), Refused)
+    reserved = guest.answer(good)
+    assert isinstance(reserved, Reserved)
+    # another cluster cannot use the reservation
+    assert isinstance(guest.answer(Commit("west", good.spec.id, reserved.id)), Refused)
+    assert isinstance(guest.answer(good), Refused)  # the same again keeps no second room
+    bad = [
+        b"", b"\x81", b"x" * (messages.MOST_BYTES + 1), msgspec.msgpack.encode(Ask("home", "no job", "0" * 32)),
+        msgspec.msgpack.encode(Ask("home", "j-000001", "short")), msgspec.msgpack.encode(Ask("", "j-000001", "0" * 32)),
+        msgspec.msgpack.encode(msgspec.structs.replace(good, path=["a"] * 9)),
+        msgspec.msgpack.encode({"type": "offer", "home": "home", "number": 1, "spec": {}, "path": []}),
+        msgspec.msgpack.encode(Offer("home", 1, decode_spec(c.home.world.job(shards=2)), ["home"])),
+    ]  # fmt: skip
+    for body in bad:
+        with pytest.raises(Unfit):
+            messages.decode(body)
+    c.east.node.leadership.resign("gives way", 10.0)
+    assert isinstance(guest.answer(good), Unsure)
+
+
+def test_guests_come_within_their_team_s_limit_and_keep_no_more_room_than_allowed() -> None:
+    c = Clusters()
+    guest = c.east.guest
+    guest.limits.most_reserved = 1
+    assert isinstance(guest.answer(offer(c)), Reserved)
+    assert guest.answer(offer(c)) == Refused("as many as are allowed")
+    guest.limits.most_reserved = 8
+    c.east.term.ledger.teams[c.east.term.ledger.team_names.index("blue")].limit = (15_000_000, 0)
+    assert guest.answer(offer(c)) == Refused("the guests' limit is used up")
+
+
+def test_many_schedules_of_faults_never_split_a_gang_nor_run_it_twice() -> None:
+    """Random losses, crashes and finished work; `check` looks after every second."""
+    outcomes = set()
+    for seed in range(12):
+        rng = random.Random(seed)
+        c = Clusters("east", "west")
+        for wire in c.home.links.values():
+            wire.drop = lambda m, rng=rng: rng.choices(["", "request", "answer"], [6, 1, 1])[0]  # type: ignore[misc]
+        for _ in range(60):
+            c.go(1)
+            if rng.random() < 0.04:
+                c.crash(rng.choice(c.sides))
+            if rng.random() < 0.05:
+                c.finish(c.home)
+        for wire in c.home.links.values():
+            wire.drop = lambda m: ""
+        for _ in range(200):
+            if c.view() == "done":
+                break
+            where = c.runs_in()
+            if where is not None:
+                outcomes.add(where)
+                c.finish(next(s for s in c.sides if s.name == where))
+            c.finish(c.home)
+            c.go(1)
+        assert c.view() == "done", seed
+    assert len(outcomes) > 1, outcomes
+
+
+def test_a_commit_that_comes_too_late_is_refused_though_nobody_has_ended_the_reservation_yet() -> None:
+    """The guest's own clock decides, not how often its loop runs."""
+    c = Clusters()
+    asked = offer(c)
+    reserved = c.east.guest.answer(asked)
+    assert isinstance(reserved, Reserved)
+    for _ in range(int(reserved.for_s) + 1):
+        c.clock.now += 1.0
+        c.east.term.leadership.renew()
+    assert isinstance(c.east.guest.answer(Commit("home", asked.spec.id, reserved.id)), Refused)
+    assert not c.east.guest.records
+    assert not [k for k in c.east.world.state.data if k.startswith(PREFIX)]
+
+
+def test_a_gang_abroad_is_left_alone_by_a_leader_that_knows_nothing_of_federation() -> None:
+    """Switched off by mistake, with a gang in another cluster: the live record itself keeps it from starting here."""
+    c = Clusters()
+    c.until(lambda: c.runs_in() == "east")
+    world = c.home.world
+    world.clock.now += 13.0
+    c.home.node = Node(world, "home-plain")
+    term = c.home.node.lead()
+    c.finish(c.home)
+    world.settle(term, 12)
+    assert not c.gangs()["home"] and term.ledger.jobs[c.gang].startable() == 0
+
+
+def test_room_that_is_kept_for_another_cluster_is_not_filled_meanwhile() -> None:
+    c = Clusters()
+    asked = offer(c)
+    reserved = c.east.guest.answer(asked)
+    assert isinstance(reserved, Reserved)
+    kept = [m for m in c.east.term.fleet.machines if m.reserved_for is not None]
+    assert len(kept) == 2
+    c.east.world.accept(c.east.node, shards=64, cpus=1.0, ramGb=0.1)
+    for _ in range(8):
+        c.clock.now += 1.0
+        c.east.round()
+    assert all(not m.places for m in kept)
+    for _ in range(12):  # and is given to others when its time is over
+        c.clock.now += 1.0
+        c.east.round()
+    assert all(m.places for m in kept)
