--- a/src/grebestand/cli.py
+++ b/src/grebestand/cli.py
@@ -102,8 +102,18 @@
     serve.add_argument("--with-list", metavar="FILE", dest="listed", help="the same for all files that this file lists")
     check = commands.add_parser("check-policy", help="check policy files and name each fault")
     check.add_argument("files", nargs="+", metavar="FILE")
+    if (argv if argv is not None else sys.argv[1:])[:1] == ["serve"]:
+        # what a controller never uses costs it neither time at its start nor memory
+        arguments = parser.parse_args(argv)
+        _configure_logging()
+        return _serve(arguments)
+    from .commands import federation, rehearse, up
+
+    for module in (up, rehearse, federation):
+        module.add(commands)
     arguments = parser.parse_args(argv)
     _configure_logging()
-    if arguments.command == "serve":
-        return _serve(arguments)
-    return _check(arguments.files)
+    if arguments.command == "check-policy":
+        return _check(arguments.files)
+    verbs = {"up": up.run, "federation": federation.run, "rehearse": rehearse.run, "check-history": rehearse.run}
+    return verbs[arguments.command](arguments)
--- /dev/null
+++ b/src/grebestand/commands/up.py
@@ -0,0 +1,82 @@
+"""`grebestand up`: one cluster on loopback with stand-ins around it, for a first look."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+import gevent
+
+from ..wire.cloud import MachineType
+
+WORKERS = {"report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 30.0, "gang_peer_s": 3.0, "cancel_s": 25.0}
+TEAMS = '[[params.teams]]\nname = "demo"\ncpus = 32.0\ncpus_max = 128.0\n'
+EXAMPLE = (
+    '{"ref":"j-000001","lane":"example","crew":"demo","shape":"array","rank":"standard","shards":3,"cpus":2,"cards":0,'
+    '"ramGb":1,"cargo":"img","pullGb":1,"samePlace":false,"scatter":false,"driftwood":true,"reckonS":3,"markS":0,"stowS":0}'
+)
+
+
+def add(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    verb = commands.add_parser(
+        "up", help="run a small cluster on this machine, with stand-ins for state service, cloud and workers",
+        description="Starts controllers and a simulated fleet on loopback, prints their addresses, and ends all of it "
+        "with Ctrl-C. Nothing outlives it, and tasks do nothing but take time.",
+    )  # fmt: skip
+    verb.add_argument("--controllers", type=int, choices=(1, 3), default=1, help="how many (default 1)")
+    verb.add_argument("--machines", type=int, default=4, metavar="N", help="simulated machines of 16 CPUs (default 4)")
+    verb.add_argument("--seconds", type=float, metavar="S", help="end by itself after so long")
+
+
+def run(arguments: argparse.Namespace) -> int:
+    if not 1 <= arguments.machines <= 200:
+        print("grebestand: up: --machines must be 1 to 200", file=sys.stderr)
+        return 2
+    from ..standin.processes import Controllers
+    from ..standin.site import Site
+
+    for number in (signal.SIGINT, signal.SIGTERM):
+        gevent.signal_handler(number, _stop)
+    with tempfile.TemporaryDirectory(prefix="grebestand-") as directory:
+        types = [MachineType("m16", 16.0, 0.0, 64.0, ["a"], 100.0, 1.0, 1.0, 0.4, 3.0)]
+        site = Site("up", types, WORKERS, lambda row: None, os.getpid())
+        workers = "[params.workers]\n" + "".join(f"{k} = {v}\n" for k, v in WORKERS.items())
+        limits = "[params.state]\nrps = 1000.0\nwrite_rps = 200.0\nvalue_kb = 4.0\ntxn_ops = 12\n"
+        params = f'zones = ["a"]\n{TEAMS}{workers}{limits}[params.cloud]\nrps = 50.0\nlist_lag_s = 2.0\n'
+        policy = "rent = false\nidle_return_s = 1000000\nhold_s = 4\n"
+        controllers = Controllers(site, arguments.controllers, Path(directory), params, policy)
+        try:
+            for _ in range(arguments.machines):
+                site.machine("m16", "a")
+            controllers.start_all()
+            if not controllers.ready(30.0):
+                print("grebestand: up: no controller came to lead within 30 s", file=sys.stderr)
+                return 1
+            for name, address in controllers.addresses.items():
+                print(f"{name}  http://{address}")
+            address = next(iter(controllers.addresses.values()))
+            print(f"{arguments.machines} simulated machines of 16 CPUs are up. A job, and how it goes:\n")
+            print(f"  curl -d '{EXAMPLE}' http://{address}/v2/runs")
+            print(f"  curl http://{address}/v2/runs/j-000001\n\nCtrl-C ends all of this.", flush=True)
+            gevent.sleep(arguments.seconds if arguments.seconds is not None else 1e9)
+            return 0
+        except (KeyboardInterrupt, _Ended):
+            print("\nended")
+            return 0
+        finally:
+            controllers.stop()
+
+
+class _Ended(BaseException):
+    """Somebody wants it to end."""
+
+
+_main = gevent.getcurrent()
+
+
+def _stop() -> None:
+    gevent.kill(_main, _Ended)
--- /dev/null
+++ b/src/grebestand/rehearsal/federation.py
@@ -0,0 +1,365 @@
+"""`grebestand rehearse federation`: real controllers of some clusters on loopback, one of them crowded, under faults.
+
+What is started, hurt and asked is drawn from the seed; when exactly things happen is up to real processes, so two
+runs differ in their rows. The verdict must not.
+"""
+
+from __future__ import annotations
+
+import datetime as dt
+import random
+import re
+import tempfile
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import gevent
+import msgspec
+
+from ..federation import keys
+from ..measures.sketches import Sketches
+from ..outside.http import HttpTransport, Unreachable
+from ..standin.processes import Controllers, free_port
+from ..standin.relay import Line, Relay
+from ..standin.site import HOST, Site
+from ..standin.yard import Happened
+from ..wire.cloud import MachineType
+from ..wire.jobs import JobAnswer
+from .check import Verdict, check
+from .history import History
+
+NAMES = ("north", "south", "east", "west")
+WORKERS = {"report_s": 1.0, "lease_s": 8.0, "gang_wait_s": 15.0, "gang_peer_s": 2.0, "cancel_s": 20.0}
+PARAMS = (
+    'zones = ["a"]\n'
+    '[[params.teams]]\nname = "crew"\ncpus = 64.0\ncpus_max = 1000.0\n'
+    '[[params.teams]]\nname = "guests"\ncpus = 0.0\ncpus_max = 1000.0\n'
+    "[params.workers]\n" + "".join(f"{k} = {v}\n" for k, v in WORKERS.items()) +
+    "[params.state]\nrps = 2000.0\nwrite_rps = 500.0\nvalue_kb = 4.0\ntxn_ops = 12\n"
+    "[params.cloud]\nrps = 100.0\nlist_lag_s = 2.0\n"
+)  # fmt: skip
+POLICY = "rent = false\nidle_return_s = 100000\nhold_s = 3\ndead_after_s = 10000\n"
+TYPES = [MachineType("m16", 16.0, 0.0, 64.0, ["a"], 100.0, 2.0, 1.0, 0.4, 2.0)]
+
+
+@dataclass
+class Plan:
+    """What is rehearsed."""
+
+    seed: int = 7
+    clusters: int = 2
+    controllers: int = 2
+    machines: int = 7
+    gangs: int = 30
+    #: gangs arrive over so many seconds, and faults are over some time before the end
+    arrive_s: float = 35.0
+    most_s: float = 105.0
+    run_s: tuple[float, float] = (2.0, 5.0)
+    faults: bool = True
+    federation: bool = True
+
+
+@dataclass
+class Gang:
+    ref: str
+    klass: str
+    home: str
+    tasks: int
+    at: float
+    run_s: float
+    abort: bool = False
+    accepted_at: float | None = None
+    final: str = ""
+    final_at: float = 0.0
+
+
+@dataclass
+class Outcome:
+    verdict: Verdict
+    history: History
+    gangs: list[Gang]
+    #: lines that say who was where: home, offers, where it ran, attempts
+    rows: list[str]
+    sketches: Sketches
+    counts: dict[str, float] = field(default_factory=dict)
+
+
+class Rehearsal:
+    def __init__(self, plan: Plan, root: Path, say: Callable[[str], None]) -> None:
+        self.plan = plan
+        self.root = root
+        self.say = say
+        self.rng = random.Random(plan.seed)
+        self.history = History(WORKERS["cancel_s"], about={"seed": plan.seed, "clusters": plan.clusters})
+        self.names = NAMES[: plan.clusters]
+        self.sites = {n: Site(n, TYPES, WORKERS, self.history.tell, plan.seed) for n in self.names}
+        self.controllers = {
+            n: Controllers(self.sites[n], plan.controllers, root / n, PARAMS, POLICY) for n in self.names
+        }
+        self.clock = self.sites[self.names[0]].clock
+        #: between a cluster and one controller of another
+        self.relays: dict[tuple[str, str], Relay] = {}
+        if plan.federation:
+            self._federate()
+        self.gangs = self._draw()
+        self.ended = False
+
+    def _federate(self) -> None:
+        """Keys for each cluster, handed to all others, and a file that switches it on for each controller."""
+        now = dt.datetime.now(dt.UTC)
+        certificates = {n: keys.create(self.root / n / "keys", n, 2.0, now) for n in self.names}
+        own = {c: f"{HOST}:{free_port()}" for n in self.names for c in self.controllers[n].names}
+        for n in self.names:
+            lines = [
+                'feature = "federation"', f'cluster = "{n}"', 'keys = "keys"', 'guests_team = "guests"',
+                f'networks = ["{HOST}/32"]', "overflow_after_s = 2", "look_s = 1", "reserve_s = 6", "give_back_s = 15",
+                "offers_per_gang = 40", "offers_in_flight = 8", "offers_per_s = 8", "most_reserved = 6",
+            ]  # fmt: skip
+            lines += ["[listen]", *[f'{c} = "{own[c]}"' for c in self.controllers[n].names]]
+            for other in self.names:
+                if other != n:
+                    keys.trust(self.root / n / "keys", certificates[other])
+                    lines += ["[[others]]", f'name = "{other}"', "[others.controllers]"]
+                    for c in self.controllers[other].names:
+                        relay = self.relays[n, c] = Relay(own[c], self.rng)
+                        lines.append(f'{c} = "{relay.address}"')
+            file = self.root / n / "federation.toml"
+            file.write_text("\n".join(lines) + "\n")
+            self.controllers[n].features = [file]
+
+    def _draw(self) -> list[Gang]:
+        """Most gangs are born in the first cluster, which has room for few of them at a time."""
+        found = []
+        for i in range(self.plan.gangs):
+            home = self.names[0] if self.rng.random() < 0.75 else self.rng.choice(self.names)
+            at = self.plan.arrive_s * (i + self.rng.random()) / self.plan.gangs
+            run = self.rng.uniform(*self.plan.run_s)
+            abort = self.plan.faults and self.rng.random() < 0.1
+            # references of different clusters may be equal, and some are
+            number = i // 2 + 1 if home != self.names[0] else i + 1
+            found.append(Gang(f"j-{number:06d}", f"gang-{i:04d}", home, 3, at, run, abort))
+        taken: set[tuple[str, str]] = set()
+        for g in found:
+            while (g.home, g.ref) in taken:
+                g.ref = f"j-{int(g.ref[2:]) + 5000:06d}"
+            taken.add((g.home, g.ref))
+        return found
+
+    # users ------------------------------------------------------------------------------------------------
+
+    def _call(self, home: str, method: str, path: str, body: bytes = b"") -> tuple[int, bytes]:
+        """One request to any controller of a cluster; 0 if nobody answers."""
+        host, _, port = self.rng.choice(list(self.controllers[home].addresses.values())).rpartition(":")
+        wire = HttpTransport(host, int(port), 1)
+        try:
+            return wire.request(method, path, body, 4.0)
+        except Unreachable:
+            return 0, b""
+        finally:
+            wire.close()
+
+    def _told(self, g: Gang, what: str) -> None:
+        self.history.tell(Happened(self.clock(), g.home, what, g.klass, g.ref, tasks=g.tasks))
+
+    def _user(self, g: Gang, begin: float) -> None:
+        gevent.sleep(max(0.0, begin + g.at - self.clock()))
+        spec = {
+            "ref": g.ref, "lane": g.klass, "crew": "crew", "shape": "ensemble", "rank": "standard", "shards": g.tasks,
+            "cpus": 15.0, "cards": 0.0, "ramGb": 8.0, "cargo": f"img-{int(g.klass[5:]) % 5}", "pullGb": 1.0,
+            "samePlace": False, "scatter": False, "driftwood": True, "reckonS": g.run_s, "markS": 0.0, "stowS": 0.0,
+        }  # fmt: skip
+        body = msgspec.json.encode(spec)
+        self._told(g, "asked")
+        asked = self.clock()
+        while not self.ended and g.accepted_at is None:
+            status, _ = self._call(g.home, "POST", "/v2/runs", body)
+            if status in (200, 201):
+                g.accepted_at = asked
+                self._told(g, "accepted")
+            else:
+                gevent.sleep(1.0)
+        abort_at = self.clock() + self.rng.uniform(1.0, 12.0) if g.abort else None
+        while not self.ended and not g.final:
+            gevent.sleep(0.5)
+            if abort_at is not None and self.clock() >= abort_at:
+                status, answer = self._call(g.home, "POST", f"/v2/runs/{g.ref}/abort")
+                wait = 1.0
+            else:
+                status, answer = self._call(g.home, "GET", f"/v2/runs/{g.ref}")
+                wait = 0.3
+            if status == 200:
+                state = msgspec.json.decode(answer, type=JobAnswer).state.value
+                if state in ("done", "cancelled"):
+                    g.final, g.final_at = state, self.clock()
+                    self._told(g, state)
+            gevent.sleep(wait)
+
+    # faults -----------------------------------------------------------------------------------------------
+
+    def _hurt(self, begin: float) -> None:
+        """One trouble after the other, drawn from the seed, until some time before the end."""
+        kinds = [
+            self._hold_link, self._break_link, self._slow_link, self._kill_leader, self._kill_both_leaders,
+            self._silence, self._kill_all, self._lose_machine, self._freeze_leader, self._hold_and_kill,
+        ]  # fmt: skip
+        self.rng.shuffle(kinds)
+        at = 0
+        while self.clock() - begin < self.plan.arrive_s + 10 and not self.ended:
+            gevent.sleep(self.rng.uniform(1.0, 3.0))
+            kinds[at % len(kinds)]()
+            at += 1
+        for relay in self.relays.values():
+            relay.set(Line.OPEN)
+            relay.late_s = 0.0
+
+    def _lines(self, line: Line, seconds: float) -> None:
+        for relay in self.relays.values():
+            relay.set(line)
+        gevent.sleep(seconds)
+        for relay in self.relays.values():
+            relay.set(Line.OPEN)
+
+    def _hold_link(self) -> None:
+        self.say("all links are held for 7 s; what was sent arrives afterwards")
+        self._lines(Line.HELD, 7.0)
+
+    def _break_link(self) -> None:
+        self.say("all links are reset and refuse for 3 s")
+        self._lines(Line.BROKEN, 3.0)
+
+    def _slow_link(self) -> None:
+        self.say("links are up to 1 s late from now on for 5 s")
+        for relay in self.relays.values():
+            relay.late_s = 1.0
+        gevent.sleep(5.0)
+        for relay in self.relays.values():
+            relay.late_s = 0.0
+
+    def _kill(self, site: str, pause: float) -> None:
+        leader = self.controllers[site].leader()
+        if leader is not None:
+            self.say(f"{leader}, which leads, is killed for {pause:.0f} s")
+            self.controllers[site].kill(leader)
+            gevent.spawn_later(pause, self._restart, site, leader)
+
+    def _restart(self, site: str, name: str) -> None:
+        if not self.ended:
+            self.controllers[site].start(name)
+
+    def _kill_leader(self) -> None:
+        self._kill(self.rng.choice(self.names), 4.0)
+
+    def _kill_both_leaders(self) -> None:
+        for name in self.names:
+            self._kill(name, 1.0)
+
+    def _hold_and_kill(self) -> None:
+        for relay in self.relays.values():
+            relay.set(Line.HELD)
+        for name in self.names:
+            self._kill(name, 2.0)
+        self._lines(Line.HELD, 5.0)
+
+    def _kill_all(self) -> None:
+        site = self.names[-1]
+        self.say(f"all controllers of {site} are killed for 3 s")
+        for name in self.controllers[site].names:
+            self.controllers[site].kill(name)
+            gevent.spawn_later(3.0, self._restart, site, name)
+
+    def _freeze_leader(self) -> None:
+        site = self.rng.choice(self.names)
+        leader = self.controllers[site].leader()
+        if leader is not None:
+            self.say(f"{leader}, which leads, is stopped for 5 s, longer than its hold")
+            self.controllers[site].freeze(leader, 5.0)
+
+    def _silence(self) -> None:
+        site = self.rng.choice(self.names)
+        self.say(f"the state service of {site} is silent for 5 s")
+        self.sites[site].store.silent = True
+        gevent.sleep(5.0)
+        self.sites[site].store.speak()
+
+    def _lose_machine(self) -> None:
+        site = self.sites[self.names[-1]]
+        busy = [p.name for p in site.yard.players.values() if p.held]
+        if busy and len(site.yard.players) > 4:
+            name = self.rng.choice(sorted(busy))
+            self.say(f"machine {name} of {site.name} dies, and another comes up")
+            site.lose(name)
+            site.machine("m16", "a")
+
+    # the run ----------------------------------------------------------------------------------------------
+
+    def run(self) -> Outcome:
+        plan = self.plan
+        try:
+            for name in self.names:
+                for _ in range(plan.machines):
+                    self.sites[name].machine("m16", "a")
+                self.controllers[name].start_all()
+            for name in self.names:
+                if not self.controllers[name].ready(25.0):
+                    raise RuntimeError(f"no controller of {name} came to lead; see {self.root / name}")
+            begin = self.clock()
+            users = [gevent.spawn(self._user, g, begin) for g in self.gangs]
+            if plan.faults:
+                gevent.spawn(self._hurt, begin)
+            while self.clock() - begin < plan.most_s and not all(g.final for g in self.gangs):
+                gevent.sleep(0.2)
+            gevent.sleep(1.0)
+            self.ended = True
+            gevent.joinall(users, timeout=6.0)
+            return self._outcome(begin)
+        finally:
+            self.ended = True
+            for controllers in self.controllers.values():
+                controllers.stop()
+
+    def _outcome(self, begin: float) -> Outcome:
+        offers = self._offers()
+        ran: dict[str, list[tuple[str, int]]] = {}
+        for r in self.history.rows:
+            if r.what == "on" and (r.cluster, r.attempt) not in ran.setdefault(r.klass, []):
+                ran[r.klass].append((r.cluster, r.attempt))
+        rows = []
+        sketches = Sketches()
+        for g in self.gangs:
+            where = ran.get(g.klass, [])
+            text = " ".join(dict.fromkeys(c for c, _ in where)) or "-"
+            rows.append(
+                f"{g.klass}  home {g.home:6} offers {offers.get((g.home, g.ref), 0):2}  ran {text:12} "
+                f"attempts {len(where)}  {g.final or 'not over'}"
+            )
+            if g.final == "done" and g.accepted_at is not None:
+                sketches.add("until done", g.final_at - g.accepted_at)
+        counts = {
+            "messages": float(sum(r.connections for r in self.relays.values())),
+            "bytes": float(sum(r.bytes for r in self.relays.values())),
+            "writes": float(sum(s.store.writes for s in self.sites.values())),
+            "abroad": float(sum(1 for g in self.gangs if any(c != g.home for c, _ in ran.get(g.klass, [])))),
+            "offers": float(sum(offers.values())),
+            "seconds": self.clock() - begin,
+        }
+        return Outcome(check(self.history), self.history, self.gangs, rows, sketches, counts)
+
+    def _offers(self) -> dict[tuple[str, str], int]:
+        """From the controllers' logs: display only."""
+        found: dict[tuple[str, str], int] = {}
+        for name in self.names:
+            for log in sorted((self.root / name).glob("*.log")):
+                for m in re.finditer(r"gang (j-\d+): WAITING -> OFFERED: offered to (.*)", log.read_text("utf-8")):
+                    key = (name, m[1])
+                    found[key] = found.get(key, 0) + len(m[2].split(", "))
+        return found
+
+
+def rehearse(plan: Plan, say: Callable[[str], None], keep: Path | None = None) -> Outcome:
+    """Runs it in a directory that is removed afterwards, or in one that is kept."""
+    if keep is not None:
+        keep.mkdir(parents=True, exist_ok=True)
+        return Rehearsal(plan, keep, say).run()
+    with tempfile.TemporaryDirectory(prefix="grebestand-") as directory:
+        return Rehearsal(plan, Path(directory), say).run()
--- /dev/null
+++ b/src/grebestand/standin/processes.py
@@ -0,0 +1,115 @@
+"""Real controller processes for a site on loopback: started, killed, started again, and ended by who started them."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from pathlib import Path
+
+import gevent
+from gevent import socket, subprocess
+
+from .site import HOST, Site
+
+
+def free_port() -> int:
+    """A port of loopback that nobody uses at the moment."""
+    with socket.socket() as s:
+        s.bind((HOST, 0))
+        return int(s.getsockname()[1])
+
+
+class Controllers:
+    """The controllers of one site. Their settings, logs and features' files are in a directory of their own."""
+
+    def __init__(self, site: Site, count: int, root: Path, params: str, policy: str) -> None:
+        self.site = site
+        self.root = root
+        root.mkdir(parents=True, exist_ok=True)
+        self.names = [f"{site.name}-{i}" for i in range(count)]
+        self.addresses = {n: f"{HOST}:{free_port()}" for n in self.names}
+        peers = {n: f"{HOST}:{free_port()}" for n in self.names}
+        self.features: list[Path] = []
+        self._running: dict[str, subprocess.Popen[bytes]] = {}
+        (root / "policy.toml").write_text(policy)
+        for name in self.names:
+            known = "".join(
+                f'[[known]]\nhost_name = "{n}"\narea = "a"\naddress = "{peers[n]}"\n' for n in self.names if n != name
+            )
+            (root / f"{name}.toml").write_text(
+                f'host_name = "{name}"\narea = "a"\nserve_on = "{self.addresses[name]}"\n'
+                f'peer_listen = "{peers[name]}"\n{known}[outside]\ncloud = "{site.cloud_address}"\n'
+                f'state = "{site.store.address}"\n[params]\ncount = {count}\n{params}'
+            )
+        site.controllers = dict(self.addresses)
+
+    def start(self, name: str) -> None:
+        if self.alive(name):
+            return
+        command = [sys.executable, "-m", "grebestand", "serve", "--config", str(self.root / f"{name}.toml")]
+        command += ["--policy", str(self.root / "policy.toml")]
+        for file in self.features:
+            command += ["--with", str(file)]
+        environment = {**os.environ, "PYTHONPATH": os.pathsep.join(p for p in sys.path if p)}
+        # a group of its own: an interrupt at the terminal is for whoever started it, which then ends it
+        with open(self.root / f"{name}.log", "ab") as out:
+            self._running[name] = subprocess.Popen(
+                command, stdin=subprocess.DEVNULL, stdout=out, stderr=out, env=environment, start_new_session=True
+            )
+
+    def start_all(self) -> None:
+        for name in self.names:
+            self.start(name)
+
+    def alive(self, name: str) -> bool:
+        process = self._running.get(name)
+        return process is not None and process.poll() is None
+
+    def kill(self, name: str) -> None:
+        """Ends it with no warning."""
+        process = self._running.get(name)
+        if process is not None and process.poll() is None:
+            process.kill()
+            process.wait()
+
+    def freeze(self, name: str, seconds: float) -> None:
+        """Stops it for a while, in a greenlet of its own."""
+        process = self._running.get(name)
+        if process is None or process.poll() is not None:
+            return
+
+        def hold() -> None:
+            process.send_signal(signal.SIGSTOP)
+            gevent.sleep(seconds)
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+
+        gevent.spawn(hold)
+
+    def leader(self) -> str | None:
+        """Who leads, by the state service."""
+        found = self.site.store.model.data.get("leader")
+        return str(found[0]["name"]) if found is not None else None
+
+    def ready(self, within_s: float) -> bool:
+        """Waits until a controller leads and machines have reported."""
+        end = self.site.clock() + within_s
+        while self.site.clock() < end:
+            if self.leader() is not None and any(p.token for p in self.site.yard.players.values()):
+                return True
+            gevent.sleep(0.1)
+        return False
+
+    def stop(self) -> None:
+        """Ends all that this has started, and nothing else."""
+        for process in self._running.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        for process in self._running.values():
+            try:
+                process.wait(timeout=3.0)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
--- /dev/null
+++ b/src/grebestand/standin/site.py
@@ -0,0 +1,234 @@
+"""What is around one cluster, on loopback: state service, cloud and workers by their protocols, with faults."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+import msgspec
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+
+from ..outside.http import HttpTransport, Unreachable
+from ..records.jobs import live_key
+from ..wire.cloud import MachineType
+from ..wire.jobs import JobSpec
+from ..wire.workers import DirectOrders, Elsewhere, Orders
+from .cloud import CloudModel
+from .store import StoreModel
+from .yard import Player, Tell, Yard
+
+HOST = "127.0.0.1"
+REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 409: "Conflict", 410: "Gone", 429: "Too Many Requests",
+           503: "Service Unavailable"}  # fmt: skip
+TICK_S = 0.05
+
+
+def serve(handle: Callable[[str, str, bytes], tuple[int, bytes]]) -> WSGIServer:
+    """A started server on a free port of loopback."""
+
+    def app(environ: dict[str, Any], start: Callable[..., Any]) -> list[bytes]:
+        path, query = environ["PATH_INFO"], environ.get("QUERY_STRING")
+        body = environ["wsgi.input"].read()
+        status, answer = handle(environ["REQUEST_METHOD"], f"{path}?{query}" if query else path, body)
+        start(f"{status} {REASONS[status]}", [("Content-Type", "application/json")])
+        return [answer]
+
+    server = WSGIServer((HOST, 0), app, log=None, error_log=None)
+    server.start()
+    return server
+
+
+class Store:
+    """The state service behind HTTP: watches wait, requests are counted, and it can fall silent, refuse or be late."""
+
+    def __init__(self, clock: Callable[[], float], rps: float = 2000.0) -> None:
+        self.model = StoreModel(clock)
+        self.clock = clock
+        self.rps = rps
+        self.silent = False
+        self.late_s = 0.0
+        self.requests = self.writes = 0
+        self._second: list[float] = []
+        self._changed = Event()
+        self.server = serve(self.handle)
+        self.address = f"{HOST}:{self.server.server_port}"
+
+    def handle(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+        while self.silent:
+            gevent.sleep(0.1)  # holds are given their full time again when the silence ends (`speak`)
+        if self.late_s:
+            gevent.sleep(self.late_s)
+        now = self.clock()
+        self._second = [t for t in self._second if now - t < 1.0]
+        if len(self._second) >= self.rps:
+            return 429, b"{}"
+        self._second.append(now)
+        self.requests += 1
+        if path.startswith("/changes"):
+            return self._watch(path)
+        status, answer = self.model.request(method, path, body, 0.0)
+        if path == "/commit" and status == 200:
+            self.writes += 1
+            self._changed.set()
+            self._changed = Event()
+        return status, answer
+
+    def _watch(self, path: str) -> tuple[int, bytes]:
+        wait = next((float(x[7:]) for x in path.partition("?")[2].split("&") if x.startswith("waitMs=")), 0.0)
+        end = self.clock() + wait / 1000
+        while True:
+            changed = self._changed
+            status, answer = self.model.request("GET", path, b"", 0.0)
+            left = end - self.clock()
+            if status != 200 or left <= 0 or b'"events": []' not in answer:
+                return status, answer
+            changed.wait(left)
+            while self.silent:
+                gevent.sleep(0.1)
+
+    def speak(self) -> None:
+        """Ends a silence: all holds have their full time again."""
+        self.silent = False
+        for hold, (life, _) in list(self.model.holds.items()):
+            self.model.holds[hold] = (life, self.clock() + life)
+
+
+class Site:
+    """A cluster without its controllers; those are started by `processes`."""
+
+    def __init__(self, name: str, types: list[MachineType], workers: dict[str, float], tell: Tell, seed: int) -> None:
+        self.name = name
+        self.clock = time.monotonic
+        self.rng = random.Random(f"{seed} {name}")
+        self.types = {t.name: t for t in types}
+        self.report_s = workers["report_s"]
+        self.store = Store(self.clock)
+        self.cloud = CloudModel()
+        self.cloud.types = types
+        self.cloud.capacity = 0
+        self.cloud.rented, self.cloud.removed = self._rented, self._removed
+        self._cloud_server = serve(lambda method, path, body: self.cloud.request(method, path, body, 0.0))
+        self.cloud_address = f"{HOST}:{self._cloud_server.server_port}"
+        self.yard = Yard(name, workers["lease_s"], workers["gang_wait_s"], workers["gang_peer_s"], self._describe, tell)
+        self._specs: dict[str, JobSpec] = {}
+        #: controllers that workers report to, by name
+        self.controllers: dict[str, str] = {}
+        self._servers: dict[str, WSGIServer] = {}
+        gevent.spawn(self._tick)
+
+    def _describe(self, job: str) -> JobSpec | None:
+        """As it was uploaded; here, as the accepted job's record has it."""
+        if job not in self._specs:
+            found = self.store.model.data.get(live_key(job))
+            if found is None:
+                return None
+            self._specs[job] = msgspec.convert(found[0]["spec"], JobSpec)
+        return self._specs[job]
+
+    def _tick(self) -> None:
+        while True:
+            self.yard.step(self.clock())
+            gevent.sleep(TICK_S)
+
+    # machines ---------------------------------------------------------------------------------------------
+
+    def machine(self, kind: str, zone: str, spot: bool = False, name: str | None = None) -> Player:
+        """A machine that is up: its worker reports from now on."""
+        if name is None:
+            name = f"n-{self.cloud.count:06d}"
+            self.cloud.count += 1
+        player = Player(name, zone, spot, type=kind)
+        server = serve(lambda method, path, body: self._order(player, path, body))
+        player.addr = f"{HOST}:{server.server_port}"
+        self._servers[name] = server
+        self.yard.add(player, self.clock())
+        entry = {"ref": name, "addr": player.addr, "hull": kind, "quay": zone, "driftwood": spot, "tide": "running"}
+        self.cloud.listed = sorted([*self.cloud.listed, entry], key=lambda e: str(e["ref"]))
+        gevent.spawn(self._report_loop, player)
+        return player
+
+    def lose(self, name: str) -> None:
+        """The machine dies: nothing more is heard from it, and the cloud lists it as failed."""
+        self.yard.lose(name, self.clock())
+        for entry in self.cloud.listed:
+            if entry["ref"] == name:
+                entry["tide"] = "failed"
+        server = self._servers.pop(name, None)
+        if server is not None:
+            server.stop(timeout=0.1)
+
+    def _rented(self, names: list[str], want: dict[str, Any]) -> None:
+        def boot(name: str) -> None:
+            gevent.sleep(self.types[want["hull"]].boot_s * (0.6 + 0.9 * self.rng.random()))
+            if name not in self.cloud.deleted:
+                self.machine(want["hull"], want["quay"], want["driftwood"], name)
+
+        for name in names:
+            gevent.spawn(boot, name)
+
+    def _removed(self, names: list[str]) -> None:
+        for name in names:
+            self.lose(name)
+        self.cloud.listed = [e for e in self.cloud.listed if e["ref"] not in names]
+
+    # the workers' side of the protocol --------------------------------------------------------------------
+
+    def _order(self, player: Player, path: str, body: bytes) -> tuple[int, bytes]:
+        while self.clock() < player.hangs_until:
+            gevent.sleep(0.05)
+        if path == "/show":
+            return 200, msgspec.json.encode(player.report())
+        try:
+            orders = msgspec.json.decode(body, type=DirectOrders)
+        except msgspec.DecodeError:
+            return 400, b"{}"
+        status, report = player.direct(orders)
+        return status, msgspec.json.encode(report)
+
+    def _report_loop(self, player: Player) -> None:
+        names = sorted(self.controllers)
+        at = self.rng.choice(names) if names else ""
+        wires: dict[str, HttpTransport] = {}
+        while self.yard.players.get(player.name) is player:
+            end = self.clock() + self.report_s * (0.75 + 0.5 * self.rng.random())
+            gevent.sleep(min(0.5, self.report_s / 2))
+            while self.clock() < end and not player.changed:
+                gevent.sleep(0.05)
+            if self.clock() < player.hangs_until or not self.controllers:
+                continue
+            player.changed = False
+            at, good = self._report(player, at, wires)
+            if not good:
+                gevent.sleep(0.3)
+        for wire in wires.values():
+            wire.close()
+
+    def _report(self, player: Player, at: str, wires: dict[str, HttpTransport]) -> tuple[str, bool]:
+        """One report; the controller for the next one, and whether this one was answered."""
+        names = sorted(self.controllers)
+        following = names[(names.index(at) + 1) % len(names)] if at in names else names[0]
+        address = self.controllers.get(at)
+        if address is None:
+            return following, False
+        host, _, port = address.rpartition(":")
+        wire = wires.setdefault(address, HttpTransport(host, int(port), 1))
+        sent = self.clock()
+        report = player.report()
+        try:
+            status, body = wire.request("POST", "/checkin", msgspec.json.encode(report), 4.0)
+            if status == 421:
+                other = msgspec.json.decode(body, type=Elsewhere).report_to
+                return (other, True) if other in names and other != at else (following, False)
+            if status != 200:
+                return following, False
+            orders = msgspec.json.decode(body, type=Orders)
+        except (Unreachable, msgspec.DecodeError):
+            return following, False
+        if orders.token >= player.token and report.session == player.session:
+            player.answered_at = max(player.answered_at, sent)
+            player.obey(orders)
+        return at, True
--- /dev/null
+++ b/src/grebestand/standin/worker.py
@@ -0,0 +1,84 @@
+"""A worker by its protocol, in memory: sessions, tokens, reports and commands."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from ..wire.workers import DirectOrders, Orders, Report, TaskReport, TaskStatus, Why
+
+
+@dataclass
+class WorkerModel:
+    """A worker that follows the protocol; what its tasks do is up to who plays them."""
+
+    name: str
+    zone: str = "a"
+    spot: bool = False
+    session: int = 1
+    seq: int = 0
+    token: int = 0
+    notice_s: float | None = None
+    reachable: bool = True
+    addr: str = ""
+    type: str = "m4"
+    tasks: dict[str, TaskStatus] = field(default_factory=dict)
+    started: list[tuple[str, int]] = field(default_factory=list)
+
+    def report(self) -> Report:
+        self.seq += 1
+        tasks = [msgspec.structs.replace(t) for t in self.tasks.values()]
+        return Report(
+            self.name,
+            self.addr or f"{self.name}:1",
+            self.type,
+            self.zone,
+            self.spot,
+            self.session,
+            self.seq,
+            self.token,
+            self.notice_s,
+            tasks,
+        )
+
+    def obey(self, orders: Orders) -> None:
+        if orders.token < self.token:
+            return
+        self.token = orders.token
+        for c in orders.commands:
+            held = self.tasks.get(c.task)
+            if c.op == "start" and (held is None or held.attempt != c.attempt):
+                self.begin(c.task, c.attempt)
+                self.started.append((c.task, c.attempt))
+            elif c.op == "stop" and held is not None and held.attempt == c.attempt:
+                self.end(held, c.grace_s or 0.0)
+            elif c.op == "forget" and held is not None and held.state is TaskReport.EXITED:
+                del self.tasks[c.task]
+
+    def begin(self, task: str, attempt: int) -> None:
+        """A start that is not a repeat."""
+        self.tasks[task] = TaskStatus(task, attempt, TaskReport.RUNNING)
+
+    def end(self, held: TaskStatus, grace_s: float) -> None:
+        """A stop of what is there."""
+        held.state, held.why = TaskReport.EXITED, Why.STOPPED
+
+    def finish(self, task: str, why: Why = Why.DONE) -> None:
+        self.tasks[task].state, self.tasks[task].why = TaskReport.EXITED, why
+
+    def direct(self, orders: DirectOrders) -> tuple[int, Report]:
+        """The answer to a direct order: executed if neither token nor session is an old one."""
+        stale = orders.token < self.token or orders.session != self.session
+        if not stale:
+            self.obey(Orders(orders.token, orders.commands))
+        return (409 if stale else 200), self.report()
+
+    def lapse(self) -> None:
+        """Its lease ran out: all tasks are killed and forgotten."""
+        self.session += 1
+        self.seq = 0
+        self.tasks.clear()
+
+    def running(self) -> list[str]:
+        return sorted(t.task for t in self.tasks.values() if t.state is not TaskReport.EXITED)
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -12,7 +12,8 @@
 #: lowest first; a module may import from its own layer's package and from layers before it
 LAYERS = (
     "clocks", "states", "measures", "wire", "settings", "books", "limits", "outside", "records", "features",
-    "decisions", "reports", "leading", "doors", "federation", "process", "cli",
+    "decisions", "reports", "leading", "doors", "federation", "process", "standin", "rehearsal",
+    "commands", "cli",
 )  # fmt: skip
 
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -19,7 +19,7 @@
 from grebestand.settings import policy
 from grebestand.settings.expressions import ExpressionError
 from grebestand.settings.platform import SettingsError, parse
-from world import SETTINGS, Clock, Node, World
+from grebestand.standin.memory import SETTINGS, Clock, Node, World
 
 
 @pytest.mark.parametrize(
--- a/tests/test_features.py
+++ b/tests/test_features.py
@@ -13,8 +13,8 @@
 from grebestand.features.hooks import Features
 from grebestand.features.registry import listed, load
 from grebestand.settings.expressions import ExpressionError
+from grebestand.standin.memory import SETTINGS, Node, World
 from grebestand.wire.peers import Hello
-from world import SETTINGS, Node, World
 
 KNOWN = {"curfew": "tiny_feature"}
 
--- a/tests/test_federation.py
+++ b/tests/test_federation.py
@@ -28,8 +28,8 @@
 )
 from grebestand.federation.states import BreakerState, HomeState
 from grebestand.leading.term import Term
+from grebestand.standin.memory import SETTINGS, Clock, Node, World
 from grebestand.wire.jobs import decode_spec
-from world import SETTINGS, Clock, Node, World
 
 WIDE = SETTINGS.replace("cpus_max = 64.0", "cpus_max = 640.0")
 
--- a/tests/test_mass.py
+++ b/tests/test_mass.py
@@ -4,13 +4,14 @@
 
 from collections import Counter
 
-from world import SETTINGS, TYPES, Node, Worker, World
+from grebestand.standin.memory import SETTINGS, TYPES, Node, World
+from grebestand.standin.worker import WorkerModel
 
 MANY = 120
 WIDE = SETTINGS.replace("cpus_max = 64.0", "cpus_max = 64000.0")
 
 
-def crowd(rules: str) -> tuple[World, Node, list[Worker], list[str]]:
+def crowd(rules: str) -> tuple[World, Node, list[WorkerModel], list[str]]:
     """A fleet full of arrays, with gangs over a quarter of it; direct orders are counted by address."""
     world = World(WIDE, rules)
     workers = [world.worker(f"n-{i:06d}", zone="ab"[i % 2]) for i in range(MANY)]
@@ -30,7 +31,7 @@
     world.cloud.listed = [{"ref": w.name, "quay": w.zone, **row} for w in world.workers.values()]
 
 
-def whole(workers: list[Worker], gang: str, size: int = 6) -> bool:
+def whole(workers: list[WorkerModel], gang: str, size: int = 6) -> bool:
     """All tasks of the gang run, once each, under one attempt."""
     found = [t for w in workers for t in w.tasks.values() if t.task.startswith(gang) and t.why is None]
     return len(found) == size and len({t.task for t in found}) == size and len({t.attempt for t in found}) == 1
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -14,9 +14,10 @@
 from grebestand.outside.peer import Peer
 from grebestand.process.controller import Controller
 from grebestand.settings.platform import Quota
+from grebestand.standin.memory import SETTINGS, Clock, Node, World
+from grebestand.standin.worker import WorkerModel
 from grebestand.states import LoadState, MachineState
 from grebestand.wire.peers import Hello
-from world import SETTINGS, Clock, Node, Worker, World
 
 
 class Gone:
@@ -26,7 +27,7 @@
         raise Unreachable("gone")
 
 
-def led_world() -> tuple[World, Node, Term, Worker]:
+def led_world() -> tuple[World, Node, Term, WorkerModel]:
     """A leader and one machine that may be given tasks."""
     world = World()
     node = Node(world, "node-0")
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -8,10 +8,11 @@
 from grebestand.outside.http import Unreachable
 from grebestand.outside.state import StateClient, StateError
 from grebestand.records.pages import Pages
-from world import Clock, FakeState
+from grebestand.standin.memory import Clock
+from grebestand.standin.store import StoreModel
 
 
-class Late(FakeState):
+class Late(StoreModel):
     """Holds transactions back: the sender hears nothing, and they are carried out when released."""
 
     def __init__(self, clock: Clock) -> None:
@@ -32,12 +33,12 @@
         self.held.clear()
 
 
-def client(state: FakeState) -> StateClient:
+def client(state: StoreModel) -> StateClient:
     plenty = Budget(1e9, 1e9, state.clock, lambda s, f: None)
     return StateClient(state, state, plenty, plenty)
 
 
-def pages_on(state: FakeState, value_bytes: int = 4096, txn_ops: int = 12) -> Pages:
+def pages_on(state: StoreModel, value_bytes: int = 4096, txn_ops: int = 12) -> Pages:
     store = client(state)
 
     def version_of(key: str) -> int:
@@ -47,7 +48,7 @@
     return Pages("p/", value_bytes, txn_ops, store.commit, version_of)
 
 
-def read_back(state: FakeState, pages: Pages | None = None) -> dict[str, list[object]]:
+def read_back(state: StoreModel, pages: Pages | None = None) -> dict[str, list[object]]:
     found: dict[str, list[object]] = {}
     reader = pages if pages is not None else pages_on(state)
     for name, value in reader.load(client(state).pairs("p/")):
@@ -57,7 +58,7 @@
 
 def test_hundreds_of_records_take_a_few_writes() -> None:
     """At one write a record, hundreds of machines took most of a minute to be recorded at 20 writes a second."""
-    state = FakeState(Clock())
+    state = StoreModel(Clock())
     pages = pages_on(state)
     for i in range(500):
         pages.put(f"n-{i:06d}", ["atlas", "north", False, f"10.0.{i // 250}.{i % 250}:9000"])
@@ -87,7 +88,7 @@
 
 
 def test_a_write_that_was_made_though_nobody_heard_does_not_block_the_next() -> None:
-    state = FakeState(Clock())
+    state = StoreModel(Clock())
     pages = pages_on(state)
     pages.put("a", 1)
     state.lose_answers = 1
@@ -120,7 +121,7 @@
 
 def test_a_record_too_large_for_any_page_is_refused() -> None:
     with pytest.raises(ValueError, match="fits no page"):
-        pages_on(FakeState(Clock()), value_bytes=256).put("a", "x" * 300)
+        pages_on(StoreModel(Clock()), value_bytes=256).put("a", "x" * 300)
 
 
 def test_of_a_record_found_twice_neither_copy_goes_before_it_is_written_anew() -> None:
--- a/tests/test_steps.py
+++ b/tests/test_steps.py
@@ -16,12 +16,15 @@
 from grebestand.decisions.view import Steps
 from grebestand.leading.pace import SLICE_S
 from grebestand.leading.term import Term
+from grebestand.standin.memory import SETTINGS, Node, World
+from grebestand.standin.worker import WorkerModel
 from grebestand.states import MachineState
 from grebestand.wire.workers import TaskReport, Why
-from world import SETTINGS, Node, Worker, World
 
 
-def led(n: int, monkeypatch: pytest.MonkeyPatch, settings: str = SETTINGS) -> tuple[World, Node, Term, list[Worker]]:
+def led(
+    n: int, monkeypatch: pytest.MonkeyPatch, settings: str = SETTINGS
+) -> tuple[World, Node, Term, list[WorkerModel]]:
     """A leader of machines that are looked at one in a step."""
     for module in (gangs, placing, targets):
         monkeypatch.setattr(module, "MACHINES_A_STEP", 1)
@@ -43,7 +46,7 @@
     term.scheduler.view.turn += 1
 
 
-def machine(term: Term, worker: Worker) -> Machine:
+def machine(term: Term, worker: WorkerModel) -> Machine:
     return term.fleet.by_name[worker.name]
 
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -20,12 +20,13 @@
 from grebestand.outside.peer import Peer
 from grebestand.outside.state import put
 from grebestand.reports import reading
+from grebestand.standin.memory import SETTINGS, TYPES, Node, World
+from grebestand.standin.worker import WorkerModel
 from grebestand.states import JobState, LeaderState, MachineState, PlaceState
 from grebestand.wire.jobs import split_task
 from grebestand.wire.peers import CachedImages, Hello
 from grebestand.wire.store import Change, Condition
 from grebestand.wire.workers import Command, Orders, Report, TaskReport, TaskStatus, Why
-from world import SETTINGS, TYPES, Node, Worker, World
 
 
 def view(node: Node, ident: str) -> str:
@@ -33,7 +34,7 @@
     return str(json.loads(answer.body)["tide"]) if answer.status == 200 else str(answer.status)
 
 
-def start_world(n: int = 2) -> tuple[World, Node, list[Worker]]:
+def start_world(n: int = 2) -> tuple[World, Node, list[WorkerModel]]:
     world = World()
     workers = [world.worker(f"n-{i:06d}") for i in range(n)]
     node = Node(world, "node-0")
@@ -43,7 +44,7 @@
     return world, node, workers
 
 
-def cut_off_world(shards: int = 20) -> tuple[World, Node, Worker, Worker, str, set[str]]:
+def cut_off_world(shards: int = 20) -> tuple[World, Node, WorkerModel, WorkerModel, str, set[str]]:
     """A job on two machines, one of which has just become unreachable with some of its tasks."""
     world, node, (near, far) = start_world()
     assert node.term is not None
