--- a/src/grebestand/standin/yard.py
+++ b/src/grebestand/standin/yard.py
@@ -42,6 +42,7 @@
 
     spec: JobSpec
     index: int
+    attempt: int
     since: float
     image_at: float
     on: bool = False
@@ -59,6 +60,8 @@
     """A worker whose tasks are played: what is stopped may save first."""
 
     held: dict[str, Held] = field(default_factory=dict)
+    #: tasks that another attempt has followed before the yard saw their end
+    followed: list[Held] = field(default_factory=list)
     images: set[str] = field(default_factory=set)
     #: when the last answered report was sent, by the yard's clock
     answered_at: float = 0.0
@@ -68,7 +71,9 @@
 
     def begin(self, task: str, attempt: int) -> None:
         self.tasks[task] = TaskStatus(task, attempt, T.FETCHING)
-        self.held.pop(task, None)
+        old = self.held.pop(task, None)
+        if old is not None:
+            self.followed.append(old)
         self.changed = True
 
     def end(self, held: TaskStatus, grace_s: float) -> None:
@@ -138,8 +143,11 @@
         for members in gangs.values():
             self._step_gang(members, now)
         for player in self.players.values():
-            for task in [t for t in player.held if t not in player.tasks]:
-                del player.held[task]
+            # stopped and forgotten, or followed by another attempt, between two steps
+            gone = [player.held.pop(t) for t in [t for t in player.held if t not in player.tasks]]
+            for held in gone + player.followed:
+                self._off(player, held, now, Why.STOPPED.value)
+            player.followed.clear()
 
     def _held(self, player: Player, task: str, status: TaskStatus, now: float) -> Held | None:
         found = player.held.get(task)
@@ -150,33 +158,31 @@
                 status.state, status.why, player.changed = T.EXITED, Why.UNKNOWN, True
                 return None
             fetch = 0.0 if spec.image in player.images else spec.image_gb / self.fetch_gb_per_s
-            found = player.held[task] = Held(spec, index, now, now + fetch)
+            found = player.held[task] = Held(spec, index, status.attempt, now, now + fetch)
         return found
 
-    def _say(self, what: str, player: Player, status: TaskStatus, held: Held, now: float, why: str = "") -> None:
+    def _say(self, what: str, player: Player, held: Held, now: float, why: str = "") -> None:
         spec = held.spec
         self.tell(
-            Happened(
-                now, self.name, what, spec.klass, spec.id, held.index, status.attempt, player.name, why, spec.tasks
-            )
+            Happened(now, self.name, what, spec.klass, spec.id, held.index, held.attempt, player.name, why, spec.tasks)
         )
 
-    def _off(self, player: Player, status: TaskStatus, held: Held, now: float, why: str) -> None:
+    def _off(self, player: Player, held: Held, now: float, why: str) -> None:
         if held.on:
             held.on = False
-            self._say("off", player, status, held, now, why)
+            self._say("off", player, held, now, why)
 
     def _exit(self, player: Player, status: TaskStatus, held: Held, now: float, why: Why) -> None:
         status.state, status.why, player.changed = T.EXITED, why, True
         if why is Why.DONE:
             self.results.add(status.task)
-        self._off(player, status, held, now, why.value)
+        self._off(player, held, now, why.value)
 
     def _clear(self, player: Player, now: float, why: str) -> None:
-        for task, held in player.held.items():
-            if task in player.tasks:
-                self._off(player, player.tasks[task], held, now, why)
+        for held in (*player.held.values(), *player.followed):
+            self._off(player, held, now, why)
         player.held.clear()
+        player.followed.clear()
 
     def _run_s(self, held: Held) -> float:
         return max(0.05, held.spec.estimate_s - self.saved_s.get(held.spec.id, 0.0))
@@ -185,7 +191,7 @@
         if status.state is T.FETCHING and now >= held.image_at:
             player.images.add(held.spec.image)
             held.on, player.changed = True, True
-            self._say("on", player, status, held, now)
+            self._say("on", player, held, now)
             if status.task in self.results:
                 self._exit(player, status, held, now, Why.DONE)
             elif held.spec.kind is Kind.GANG:
@@ -202,7 +208,7 @@
             status.saved = True
             self._exit(player, status, held, now, Why.STOPPED)
         elif status.state is T.EXITED:
-            self._off(player, status, held, now, str(status.why))
+            self._off(player, held, now, str(status.why))
 
     def _save(self, held: Held) -> None:
         worked = self.saved_s.get(held.spec.id, 0.0) + (held.stop_at or held.run_at) - held.run_at
