Stories of the link, the yard and the checker; generations of keys told apart

Need: the link and the checker had no tests. Found by them: after a rotation OpenSSL may take the wrong one of two certificates of one name for the issuer, so that the new key was refused as unknown; certificates now name their keys. Ruled out: trust by the first match of a name.

--- a/src/grebestand/federation/keys.py
+++ b/src/grebestand/federation/keys.py
@@ -93,6 +93,9 @@
         .not_valid_before(now - BEFORE)
         .not_valid_after(now + dt.timedelta(days=days))
         .add_extension(x509.SubjectAlternativeName([x509.DNSName(name)]), critical=False)
+        # tells the generations apart, which have one name
+        .add_extension(x509.SubjectKeyIdentifier.from_public_key(key.public_key()), critical=False)
+        .add_extension(x509.AuthorityKeyIdentifier.from_issuer_public_key(key.public_key()), critical=False)
         .add_extension(x509.BasicConstraints(ca=True, path_length=0), critical=True)
         .sign(key, hashes.SHA256())
     )
--- a/src/grebestand/standin/yard.py
+++ b/src/grebestand/standin/yard.py
@@ -125,6 +125,12 @@
             self._clear(player, now, "machine gone")
 
     def step(self, now: float) -> None:
+        for player in self.players.values():
+            # stopped and forgotten, or followed by another attempt, between two steps
+            gone = [player.held.pop(t) for t in [t for t in player.held if t not in player.tasks]]
+            for past in gone + player.followed:
+                self._off(player, past, now, Why.STOPPED.value)
+            player.followed.clear()
         gangs: dict[tuple[str, int], list[tuple[Player, TaskStatus, Held]]] = {}
         for player in list(self.players.values()):
             if now < player.hangs_until:
@@ -142,12 +148,6 @@
                     gangs.setdefault((held.spec.id, status.attempt), []).append((player, status, held))
         for members in gangs.values():
             self._step_gang(members, now)
-        for player in self.players.values():
-            # stopped and forgotten, or followed by another attempt, between two steps
-            gone = [player.held.pop(t) for t in [t for t in player.held if t not in player.tasks]]
-            for held in gone + player.followed:
-                self._off(player, held, now, Why.STOPPED.value)
-            player.followed.clear()
 
     def _held(self, player: Player, task: str, status: TaskStatus, now: float) -> Held | None:
         found = player.held.get(task)
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -13,7 +13,7 @@
 LAYERS = (
     "clocks", "states", "measures", "wire", "settings", "books", "limits", "outside", "records", "features",
     "decisions", "reports", "leading", "doors", "federation", "process", "standin", "rehearsal",
-    "commands", "cli",
+    "commands", "cli", "__main__",
 )  # fmt: skip
 
 
--- a/tests/test_federation.py
+++ b/tests/test_federation.py
@@ -93,11 +93,11 @@
 
     def __init__(self, *others: str) -> None:
         self.clock = Clock()
-        self.home = Side("home", self.clock, 2)
+        self.home = Side("home", self.clock, 3)
         self.others = [Side(name, self.clock, 4) for name in others or ("east",)]
         self.home.links = {o.name: Wire(o) for o in self.others}
         self.home.begin()
-        self.filler = self.home.world.accept(self.home.node, shards=2, cpus=15.0, rank="critical")
+        self.filler = self.home.world.accept(self.home.node, shards=3, cpus=15.0, rank="critical")
         self.go(6)
         self.gang = self.home.world.accept(self.home.node, shape="ensemble", shards=3, cpus=15.0)
 
--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,289 @@
+"""The link between clusters: keys, certificates that are refused, networks, bounds, and finding the leader."""
+
+from __future__ import annotations
+
+import datetime as dt
+import logging
+import random
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import gevent
+import msgspec
+import pytest
+
+from grebestand.doors.server import listen
+from grebestand.federation import keys, link
+from grebestand.federation.door import LinkDoor, LinkGate
+from grebestand.federation.limits import Bucket, Retries
+from grebestand.federation.link import PATH, TlsLink, over_tls
+from grebestand.federation.messages import MOST_BYTES, NOT_LEADING, Ask, Message, Refused, Reply, Unsure, decode_reply
+from grebestand.federation.networks import NetworkFault, Networks
+from grebestand.federation.ring import LOOK_S, Ring, RingFault
+from grebestand.outside.http import HttpTransport, Transport, Unreachable
+from grebestand.standin.memory import Clock
+from grebestand.standin.processes import free_port
+
+NOW = dt.datetime.now(dt.UTC)
+ASK = Ask("home", "j-000001", "0" * 32)
+
+
+class Two:
+    """The keys of two clusters that believe each other, and the door of one of them on loopback."""
+
+    def __init__(self, root: Path, home_made: dt.datetime = NOW) -> None:
+        self.home, self.east = root / "home", root / "east"
+        self.clock = Clock()
+        pems = [keys.create(self.home, "home", 2.0, home_made), keys.create(self.east, "east", 2.0, NOW)]
+        keys.trust(self.home, pems[1])
+        keys.trust(self.east, pems[0])
+        self.ring = Ring(self.east, "east", self.clock)
+        self.asked: list[Message] = []
+        self.networks = ["127.0.0.0/8"]
+        self.port = free_port()
+        door = LinkDoor(self.ring, lambda: self.answer, lambda: "east-1", self.clock)
+        gate = LinkGate(Networks(self.networks), self.ring, self.clock)
+        self.server = listen(f"127.0.0.1:{self.port}", "listen", door.app, 4, gate)
+        self.server.start()
+
+    def answer(self, message: Message) -> Reply:
+        self.asked.append(message)
+        return Refused("heard")
+
+    def wire(self, root: Path | None = None) -> HttpTransport:
+        context = Ring(root or self.home, (root or self.home).name, self.clock).client("east")
+        return HttpTransport("127.0.0.1", self.port, 1, tls=context)
+
+    def tell(self, wire: HttpTransport, body: bytes | None = None) -> tuple[int, bytes]:
+        return wire.request("POST", PATH, msgspec.msgpack.encode(ASK) if body is None else body, 10.0)
+
+    def pass_time(self) -> None:
+        self.clock.now += LOOK_S + 1.0
+
+
+@pytest.fixture
+def two(tmp_path: Path) -> Iterator[Two]:
+    made = Two(tmp_path)
+    yield made
+    made.server.stop(timeout=0.1)
+
+
+def test_clusters_that_believe_each_other_talk_and_the_peer_is_who_its_certificate_says(two: Two) -> None:
+    wire = two.wire()
+    status, body = two.tell(wire)
+    assert status == 200 and decode_reply(body) == Refused("heard") and two.asked == [ASK]
+    # a message in another cluster's name is not even looked at
+    status, body = two.tell(wire, msgspec.msgpack.encode(msgspec.structs.replace(ASK, home="west")))
+    assert status == 403 and b"'west'" in body and len(two.asked) == 1
+
+
+def test_keys_rotate_with_overlap_and_no_restart(two: Two) -> None:
+    """Made, handed over, used, and only then the old one revoked; each step leaves a link that works."""
+    old = next(s for s in keys.show(two.home, NOW) if s.state == "active")
+    pem = keys.rotate(two.home, 2.0, NOW)
+    assert two.tell(two.wire())[0] == 200  # the next one is there and not used
+    keys.trust(two.east, pem)
+    two.pass_time()
+    keys.activate(two.home)
+    shown = {s.file: s.state for s in keys.show(two.home, NOW)}
+    assert shown["own/0001.pem"] == "ready" and shown["own/0002.pem"] == "active"
+    assert two.tell(two.wire())[0] == 200
+    keys.revoke(two.east, old.fingerprint[:12])
+    two.pass_time()
+    assert two.tell(two.wire())[0] == 200
+    keys.activate(two.home, "0001")
+    with pytest.raises(Unreachable):
+        two.tell(two.wire())
+
+
+def test_a_connection_that_outlives_its_keys_is_not_believed_any_more(two: Two) -> None:
+    wire = two.wire()
+    assert two.tell(wire)[0] == 200
+    mark = next(s for s in keys.show(two.east, NOW) if s.cluster == "home")
+    keys.revoke(two.east, mark.fingerprint)
+    two.pass_time()
+    status, _ = two.tell(wire)
+    assert status == 403 and len(two.asked) == 1
+
+
+@pytest.mark.parametrize("case", ["expired", "unknown", "revoked"])
+def test_a_bad_certificate_is_refused_with_a_line_that_says_which(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture, case: str
+) -> None:
+    two = Two(tmp_path, NOW - dt.timedelta(days=30) if case == "expired" else NOW)
+    root = two.home
+    if case == "unknown":
+        root = tmp_path / "stranger"
+        keys.create(root, "stranger", 2.0, NOW)
+        keys.trust(root, two.east / "own" / "0001.pem")
+    if case == "revoked":
+        keys.revoke(two.east, next(s for s in keys.show(two.east, NOW) if s.cluster == "home").fingerprint)
+        two.pass_time()
+    with caplog.at_level(logging.WARNING), pytest.raises(Unreachable):
+        two.tell(two.wire(root))
+    gevent.sleep(0)
+    assert [m for m in caplog.messages if m.startswith("link from 127.0.0.1 refused") and m.endswith(f"is {case}")]
+    assert not two.asked
+    two.server.stop(timeout=0.1)
+
+
+def test_who_is_outside_the_networks_is_refused_before_the_handshake(tmp_path: Path) -> None:
+    class Never:
+        def greet(self, sock: Any, host: str) -> Any:
+            raise AssertionError("a handshake was begun")
+
+    gate = LinkGate(Networks(["10.2.0.0/16"]), Never(), Clock())  # type: ignore[arg-type]
+    server = listen(f"127.0.0.1:{free_port()}", "listen", lambda e, s: [], 4, gate)
+    server.start()
+    with gevent.socket.create_connection(("127.0.0.1", server.server_port), timeout=10.0) as sock:
+        assert sock.recv(1) == b""
+    server.stop(timeout=0.1)
+
+
+def test_networks_are_ipv4_and_ipv6_and_faults_name_what_is_wrong() -> None:
+    networks = Networks(["10.2.0.0/16", "10.3.0.0/16", "fd00:2::/64", "192.0.2.7/32"])
+    inside = ["10.2.255.1", "10.3.0.1", "192.0.2.7", "fd00:2::9", "::ffff:10.2.0.1", "fd00:2::1%eth0"]
+    assert all(host in networks for host in inside)
+    assert not any(host in networks for host in ["10.4.0.1", "192.0.2.8", "fd00:3::1", "nonsense", ""])
+    assert str(networks).startswith("10.2.0.0/15")  # neighbours are merged
+    for text in ["10.2.0.1", "10.2.0.1/16", "10.2/16/3", "300.0.0.0/8", "fd00::/129"]:
+        with pytest.raises(NetworkFault, match=text.replace(".", r"\.")):
+            Networks([text])
+
+
+def test_what_is_too_large_malformed_or_of_another_version_gets_a_clear_refusal(two: Two) -> None:
+    wire = two.wire()
+    assert two.tell(wire, b"x" * (MOST_BYTES + 1))[0] == 413
+    assert two.tell(two.wire(), b"\xc1")[0] == 400
+    assert two.wire().request("POST", "/federation/9", b"", 10.0)[0] == 404
+    assert not two.asked
+
+
+def test_keys_are_read_anew_only_when_they_can_be_used(two: Two, caplog: pytest.LogCaptureFixture) -> None:
+    (two.east / "trusted" / "home" / "broken.pem").write_text("no certificate")
+    edition = two.ring.edition
+    two.pass_time()
+    assert two.tell(two.wire())[0] == 200 and two.ring.edition == edition
+    assert "the earlier ones stay" in caplog.text
+    with pytest.raises(RingFault, match=r"broken\.pem: not a certificate"):
+        Ring(two.east, "east", two.clock)
+    with pytest.raises(RingFault, match="keys of 'home', not of 'west'"):
+        Ring(two.home, "west", two.clock)
+
+
+def test_faults_of_keys_name_what_is_wrong(tmp_path: Path) -> None:
+    root = tmp_path / "k"
+    with pytest.raises(keys.KeyFault, match="no keys here"):
+        keys.rotate(root, 1.0, NOW)
+    with pytest.raises(keys.KeyFault, match="not a cluster's name"):
+        keys.create(root, "../up", 1.0, NOW)
+    pem = keys.create(root, "home", 1.0, NOW)
+    assert (root / "own" / "0001.key").stat().st_mode & 0o077 == 0
+    with pytest.raises(keys.KeyFault, match="there are keys already"):
+        keys.create(root, "home", 1.0, NOW)
+    with pytest.raises(keys.KeyFault, match="of this cluster itself"):
+        keys.trust(root, pem)
+    with pytest.raises(keys.KeyFault, match="no generation '0007'"):
+        keys.activate(root, "0007")
+    with pytest.raises(keys.KeyFault, match="names 0 certificates"):
+        keys.revoke(root, "00000000")
+
+
+# finding who leads there ----------------------------------------------------------------------------------
+
+
+class Fake:
+    """Controllers of another cluster: who leads, who is silent."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.leads = "b"
+        self.silent: set[str] = set()
+        self.hint = True
+        self.asked: list[str] = []
+        self.opened = 0
+        self.edition = 1
+        names = {n: (n, 1) for n in "abc"}
+        self.link = TlsLink(names, self.connect, lambda: self.edition, self.clock, random.Random(1))
+
+    def connect(self, host: str, port: int) -> Transport | None:
+        self.opened += 1
+        fake = self
+
+        class Wire:
+            def request(self, method: str, path: str, body: bytes, timeout: float) -> tuple[int, bytes]:
+                fake.asked.append(host)
+                if host in fake.silent:
+                    fake.clock.now += timeout
+                    raise Unreachable("silent")
+                reply: Reply = Refused("yes")
+                if host != fake.leads:
+                    reply = Unsure(NOT_LEADING, fake.leads if fake.hint else None)
+                return 200, msgspec.msgpack.encode(reply)
+
+        return Wire()
+
+
+def test_the_leader_is_found_remembered_and_found_again() -> None:
+    f = Fake()
+    assert f.link.tell(ASK) == Refused("yes") and len(f.asked) <= 2
+    f.asked.clear()
+    assert f.link.tell(ASK) == Refused("yes") and f.asked == ["b"]
+    f.leads, f.hint = "c", False
+    f.asked.clear()
+    assert f.link.tell(ASK) == Refused("yes") and f.asked[0] == "b" and f.asked[-1] == "c"
+
+
+def test_a_cluster_that_does_not_answer_takes_a_bounded_time() -> None:
+    f = Fake()
+    f.silent = {"a", "b", "c"}
+    begin = f.clock.now
+    assert f.link.tell(ASK) is None
+    assert f.clock.now - begin <= link.ALL_S + 1e-9 and len(f.asked) <= 3
+    f.silent = {"b"}
+    assert isinstance(f.link.tell(ASK), Unsure)  # the leader itself is silent: nothing follows from the others' word
+
+
+def test_connections_are_made_anew_when_the_keys_have_changed() -> None:
+    f = Fake()
+    f.link.tell(ASK)
+    before = f.opened
+    f.link.tell(ASK)
+    assert f.opened == before
+    f.edition = 2
+    f.link.tell(ASK)
+    assert f.opened == before + 1
+    assert over_tls("nobody", _no_ring())("127.0.0.1", 1) is None
+
+
+def _no_ring() -> Any:
+    class Empty:
+        def client(self, peer: str) -> None:
+            return None
+
+    return Empty()
+
+
+# bounds ---------------------------------------------------------------------------------------------------
+
+
+def spent(take: Callable[[], bool], clock: Clock, seconds: float) -> int:
+    found = 0
+    for _ in range(int(seconds * 100)):
+        clock.now += 0.01
+        found += take()
+    return found
+
+
+def test_what_is_sent_again_is_bounded_by_what_is_sent_first() -> None:
+    clock = Clock()
+    retries = Retries(0.3, 1.0, clock)
+    assert spent(retries.again, clock, 60.0) <= 62
+    for _ in range(30):
+        retries.first()
+    assert 9 <= sum(retries.again() for _ in range(100)) <= 11
+    bucket = Bucket(4.0, clock)
+    assert spent(lambda: bucket.take(1.0), clock, 30.0) <= 30 * 4 + 4
+    clock.now += 10.0
+    assert bucket.take(100.0) and not bucket.take(1.0)  # more than a second's worth goes, and is paid for
