A guest that home does not ask about starts nothing; many clusters in one process

Need: operators may settle what a lost cluster ran; if it came back it could start the gang again before home's recall arrived (found by the story of settling). Change: a guest cluster starts a guest's tasks only while home has asked about them within 30 s, under this leader; what runs goes on. A simulation of 2 to 50 clusters plays the decision code on one clock. Ruled out: a shorter silence, which would keep guests from restarting in ordinary cuts of the link.

--- a/src/grebestand/commands/rehearse.py
+++ b/src/grebestand/commands/rehearse.py
@@ -10,9 +10,13 @@
 
 def add(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
     verb = commands.add_parser("rehearse", help="run real controllers on loopback under faults, and check it")
-    verb.add_argument("name", choices=("federation",), help="what is rehearsed")
+    verb.add_argument(
+        "name", choices=("federation", "clusters"),
+        help="federation: real controllers of 2 to 4 clusters; clusters: the decisions of 2 to 50, on simulated time",
+    )  # fmt: skip
     verb.add_argument("--seed", type=int, default=7, metavar="N", help="what is drawn: gangs, faults (default 7)")
-    verb.add_argument("--clusters", type=int, choices=(2, 3), default=2, help="how many (default 2)")
+    verb.add_argument("--clusters", type=int, default=2, metavar="N", help="how many (default 2)")
+    verb.add_argument("--load", type=float, default=1.0, metavar="L", help="of simulated clusters (default 1)")
     verb.add_argument("--gangs", type=int, default=30, metavar="N", help="how many (default 30)")
     verb.add_argument("--machines", type=int, default=7, metavar="N", help="in each cluster (default 7)")
     verb.add_argument("--no-faults", action="store_true", help="hurt nothing")
@@ -54,6 +58,18 @@
     from ..rehearsal.federation import Plan, rehearse
     from ..rehearsal.history import write
 
+    most = 50 if arguments.name == "clusters" else 4
+    if not 2 <= arguments.clusters <= most or not 0 < arguments.load <= 4:
+        print(f"grebestand: rehearse: --clusters must be 2 to {most}, --load above 0 and at most 4", file=sys.stderr)
+        return 2
+    if arguments.name == "clusters":
+        import logging
+
+        from ..rehearsal.many import simulate
+
+        logging.getLogger("grebestand").setLevel(logging.ERROR)
+        print(simulate(arguments.clusters, arguments.load, arguments.seed).row())
+        return 0
     if not 1 <= arguments.gangs <= 10_000 or not 3 <= arguments.machines <= 200:
         print("grebestand: rehearse: --gangs must be 1 to 10000, --machines 3 to 200", file=sys.stderr)
         return 2
--- a/src/grebestand/federation/feature.py
+++ b/src/grebestand/federation/feature.py
@@ -5,6 +5,7 @@
 import logging
 import random
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -21,7 +22,7 @@
 from ..wire.jobs import PRIORITIES
 from .breaker import Breaker
 from .guest import Guest, GuestLimits
-from .home import Cluster, Home, Limits
+from .home import Cluster, Home, Limits, Link
 from .link import TlsLink, over_tls
 from .messages import MOST_BYTES, MOST_NAME, Room
 
@@ -140,18 +141,28 @@
 class Federation:
     """One controller's part in it: the link's door always, home and guest while it leads."""
 
-    def __init__(self, values: Expressions, settings: Settings, told: Told) -> None:
+    def __init__(
+        self,
+        values: Expressions,
+        settings: Settings,
+        told: Told,
+        clock: Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+        spawn: Callable[[Callable[[], None]], None] | None = None,
+    ) -> None:
+        """`clock`, `rng` and `spawn` are a process's own unless somebody plays time."""
         self.values = values
         self.settings = settings
         self.told = told
-        self.clock = time.monotonic
-        self.rng = random.Random()
+        self.clock = clock
+        self.rng = rng if rng is not None else random.Random()
+        self.spawn = spawn if spawn is not None else self._spawn
         self.host: Host | None = None
         self.home: Home | None = None
         self.guest: Guest | None = None
         self.term: Term | None = None
         self.pool = Pool(WORKERS)
-        self.links: dict[str, TlsLink] = {}
+        self.links: dict[str, Link] = {}
         self.breakers = {o.name: Breaker(o.name, self.clock, self.rng) for o in told.others}
         waits = [o.within_s for o in settings.params.objectives if o.kind == "guarantee" and o.within_s is not None]
         self.rest = {
@@ -191,7 +202,7 @@
             int(v["most_reserved"]),
             int(v["most_guests"]),
         )
-        home = Home(self.told.cluster, term, clusters, limits, self.rng, self._spawn)
+        home = Home(self.told.cluster, term, clusters, limits, self.rng, self.spawn)
         guest = Guest(self.told.cluster, term, guests, self.host.cancel)
         self.home, self.guest, self.term = home, guest, term
 
--- a/src/grebestand/federation/guest.py
+++ b/src/grebestand/federation/guest.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import secrets
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -51,6 +52,9 @@
 
 PREFIX = "federation/guest/"
 NO_SUCH = "no such reservation"
+#: home asks every few seconds; a guest that it has not asked about for so long starts nothing new here, as home's
+#: operators may have settled it meanwhile
+QUIET_S = 30.0
 
 
 class GuestRecord(msgspec.Struct):
@@ -110,12 +114,15 @@
         self.cancel = cancel
         self.reservations: dict[str, Reservation] = {}
         self.records: dict[str, GuestRecord] = {}
+        #: when home last asked about a guest, or told its decision
+        self.heard: dict[str, float] = {}
         for pair in term.pen.state.pairs(PREFIX):
             record = msgspec.convert(pair.value, GuestRecord)
             self.records[record.id] = record
             job = term.ledger.jobs.get(record.job)
             if job is not None:
-                job.guest = True
+                # home may have been told meanwhile that this cluster is lost: it starts when home asks about it
+                job.guest = job.away = True
 
     def move(self, r: Reservation, new: GuestState, why: str) -> None:
         """The one function that changes a reservation's state; its machines are free again once it is none."""
@@ -225,7 +232,7 @@
         """Home's proof. Saying it twice starts nothing twice."""
         record = self.records.get(commit.id)
         if record is not None:
-            return self._status(record)
+            return self._asked(record)
         r = self.reservations.get(commit.id)
         if r is None or r.home != commit.home:
             return Refused(NO_SUCH)
@@ -258,12 +265,21 @@
         job = self.term.ledger.jobs.get(r.job)
         if job is not None:
             job.guest = True
+        return self._asked(record)
+
+    def _asked(self, record: GuestRecord) -> Reply:
+        """Home still counts on this cluster: what has no place may start."""
+        self.heard[record.id] = self.term.clock()
+        job = self.term.ledger.jobs.get(record.job)
+        if job is not None and job.away:
+            job.away = False
+            self.term.ledger.changed = True
         return self._status(record)
 
     def _tell(self, ask: Ask) -> Reply:
         record = self.records.get(ask.id)
         if record is not None:
-            return self._status(record)
+            return self._asked(record)
         return Running(0) if ask.id in self.reservations else Refused(NO_SUCH)
 
     def _status(self, record: GuestRecord) -> Reply:
@@ -312,6 +328,7 @@
                 [at(guest_key(record.id), found.version)], [delete(guest_key(record.id))], Urgency.PROGRESS
             )
         self.records.pop(record.id, None)
+        self.heard.pop(record.id, None)
         return Refused(NO_SUCH)
 
     # steps ------------------------------------------------------------------------------------------------
@@ -326,7 +343,12 @@
                 self.move(r, GuestState.RELEASED, "its time is over")
         for record in list(self.records.values()):
             job = self.term.ledger.jobs.get(record.job)
-            if job is None or not job.live or job.places:
+            if job is None or not job.live:
+                continue
+            if not job.away and now - self.heard.get(record.id, -math.inf) > QUIET_S:
+                job.away = True
+                log.info("guest %s of %s: home is silent; what runs goes on, nothing starts", record.ref, record.home)
+            if job.places or job.away:
                 continue
             if job.startable() == job.spec.tasks and now - job.wait_since > self.limits.give_back_s:
                 log.info(
--- a/src/grebestand/rehearsal/federation.py
+++ b/src/grebestand/rehearsal/federation.py
@@ -29,6 +29,7 @@
 from .check import Verdict, check
 from .history import History
 
+#: of the clusters, the crowded one first
 NAMES = ("north", "south", "east", "west")
 WORKERS = {"report_s": 1.0, "lease_s": 8.0, "gang_wait_s": 15.0, "gang_peer_s": 2.0, "cancel_s": 20.0}
 PARAMS = (
--- /dev/null
+++ b/tests/test_feature.py
@@ -0,0 +1,258 @@
+"""Federation as a feature: its file, its place in a controller, routing, what operators settle, and many clusters."""
+
+from __future__ import annotations
+
+import datetime as dt
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from grebestand.cli import main
+from grebestand.commands import federation as verbs
+from grebestand.features.registry import load
+from grebestand.federation import keys
+from grebestand.federation.feature import KEYS, NAMES, Federation
+from grebestand.federation.guest import QUIET_S
+from grebestand.federation.messages import VERSION, Look, Refused, Room
+from grebestand.federation.routing import OLD_S, Told, fits, value
+from grebestand.federation.settle import PREFIX, away, settle
+from grebestand.rehearsal.many import simulate
+from grebestand.settings.expressions import ExpressionError
+from grebestand.settings.platform import parse
+from grebestand.standin.memory import SETTINGS, World
+from grebestand.wire.jobs import Priority
+from test_federation import Clusters, offer
+
+NOW = dt.datetime.now(dt.UTC)
+HEAD = 'feature = "federation"\ncluster = "home"\n'
+LINK = (
+    'keys = "keys"\nguests_team = "blue"\nnetworks = ["127.0.0.0/8"]\n[listen]\nnode-0 = "127.0.0.1:9443"\n'
+    '[[others]]\nname = "east"\n[others.controllers]\nnode-0 = "127.0.0.1:9444"\n'
+)
+
+
+def write(root: Path, text: str) -> str:
+    file = root / "federation.toml"
+    file.write_text(text)
+    return str(file)
+
+
+def test_with_no_other_cluster_nothing_is_listened_to_and_gangs_stay_home(tmp_path: Path) -> None:
+    features = load([write(tmp_path, HEAD)], parse(SETTINGS))
+    assert features.names == ["federation"] and not features.listeners
+    c = Clusters()
+    c.home.home.clusters = {}
+    c.go(20)
+    assert not c.home.home.counts["offers"] and c.home.term.ledger.jobs[c.gang].startable() == 3
+
+
+def test_a_file_with_others_listens_on_the_link(tmp_path: Path) -> None:
+    keys.create(tmp_path / "keys", "home", 2.0, NOW)
+    features = load([write(tmp_path, HEAD + LINK)], parse(SETTINGS))
+    (listener,) = features.listeners
+    assert listener.address == "127.0.0.1:9443" and listener.gate is not None
+    assert listener.gate.admit("127.0.0.1") and not listener.gate.admit("10.0.0.1")
+
+
+@pytest.mark.parametrize(
+    ("text", "fault"),
+    [
+        ('feature = "federation"\n', "cluster: column 1: "),
+        (HEAD + 'overflow_after_s = "waited / 2"\n', "overflow_after_s: column 1: unknown name 'waited'"),
+        (HEAD + 'prefer = "1 / free_machines"\n', "prefer: column 5: this division can fail"),
+        (HEAD + "offers_per_s = -1\n", "offers_per_s: column 1: always outside the allowed range"),
+        (HEAD + "pause = 1\n", "pause: column 1: unknown setting"),
+        (HEAD + 'guests_team = "green"\n', "guests_team: column 1: no team of this cluster: 'green'"),
+        (HEAD + LINK.replace("node-0", "node-9", 1), "listen: column 1: has no address for this controller, 'node-0'"),
+        (HEAD + LINK.replace("9444", "x"), "others.east.controllers.node-0: column 1: "),
+        (HEAD + LINK.replace('"east"', '"home"'), "others.home: column 1: named twice, or this cluster itself"),
+        (HEAD + LINK.replace("0.0/8", "0.1/8"), "networks: column 1: '127.0.0.1/8': has bits beyond its prefix"),
+        (HEAD + LINK, "keys: column 1: "),
+    ],
+)
+def test_faults_name_file_key_and_column_and_end_with_two(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], text: str, fault: str
+) -> None:
+    file = write(tmp_path, text)
+    with pytest.raises(ExpressionError) as caught:
+        load([file], parse(SETTINGS))
+    assert str(caught.value.faults[0]).startswith(f"{file}: {fault}")
+    config = tmp_path / "settings.toml"
+    config.write_text(SETTINGS)
+    assert main(["serve", "--config", str(config), "--with", file]) == 2
+    assert capsys.readouterr().err.startswith(f"grebestand: feature: {file}: {fault}")
+
+
+# routing --------------------------------------------------------------------------------------------------
+
+
+def federation(tmp_path: Path, more: str = "") -> Federation:
+    keys.create(tmp_path / "keys", "home", 2.0, NOW)
+    file = write(tmp_path, HEAD + more + LINK)
+    found = load([file], parse(SETTINGS))
+    made = found.steps[0][0].__self__  # type: ignore[attr-defined]
+    assert isinstance(made, Federation)
+    return made
+
+
+def test_who_is_asked_first_follows_room_its_age_images_and_price(tmp_path: Path) -> None:
+    f = federation(tmp_path)
+    c = Clusters()
+    f.term = c.home.term
+    job = c.home.term.ledger.jobs[c.gang]
+    room = Room(VERSION, 6, 16.0, 0.1, [])
+
+    def worth(told: Room, age: float) -> float:
+        return value(f.prefer, job, Told(told, 0.0), age)
+
+    assert worth(room, 1.0) > worth(msgspec.structs.replace(room, free=1), 1.0)
+    assert worth(room, 1.0) > worth(room, 60.0) > worth(room, OLD_S + 1.0) == value(f.prefer, job, None, 0.0)
+    assert worth(msgspec.structs.replace(room, images=["img"]), 1.0) > worth(room, 1.0)
+    assert worth(msgspec.structs.replace(room, price=0.5), 1.0) < worth(room, 1.0)
+    assert fits(job, room) and not fits(job, msgspec.structs.replace(room, free=2))
+    assert set(f.rest) == set(NAMES) and set(KEYS) >= {"prefer", "overflow_after_s"}
+
+
+def test_when_a_gang_is_offered_follows_the_operators_expression(tmp_path: Path) -> None:
+    f = federation(tmp_path, 'overflow_after_s = "20 if gang_size < 3 else 100 * (1 - zone_load) + gang_cpus"\n')
+    c = Clusters()
+    f.term = c.home.term
+    job = c.home.term.ledger.jobs[c.gang]
+    load_now = 45.0 / 48.0  # of one zone; the other has no machines
+    assert f.overflow_after_s(job, c.clock.now) == pytest.approx(100 * (1 - load_now) + 45.0)
+
+
+def test_the_cluster_with_room_is_asked_before_the_one_without() -> None:
+    c = Clusters("east", "west")
+    c.home.home.limits.at_once = 1
+    c.home.home.limits.overflow_after_s = lambda job, now: 15.0  # long enough for a look at who has room by then
+    c.east.world.accept(c.east.node, shards=4, cpus=15.0, rank="critical")
+    c.until(lambda: c.runs_in() is not None)
+    assert c.runs_in() == "west" and c.home.home.counts["offers"] == 1
+
+
+def test_a_cluster_of_another_version_is_offered_nothing() -> None:
+    c = Clusters()
+    look = c.east.guest._look
+
+    def newer(message: Look) -> object:
+        told = look(message)
+        return msgspec.structs.replace(told, version=VERSION + 1) if isinstance(told, Room) else told
+
+    c.east.guest._look = newer  # type: ignore[method-assign, assignment]
+    c.go(30)
+    assert c.home.home.clusters["east"].strange and not c.home.home.counts["offers"]
+    c.east.guest._look = look  # type: ignore[method-assign]
+    c.until(lambda: c.runs_in() == "east")
+
+
+def test_guests_come_after_a_cluster_s_own_work_and_only_where_they_may_run() -> None:
+    c = Clusters()
+    guest = c.east.guest
+    asked = offer(c, rank="critical")
+    guest.answer(asked)
+    (kept,) = guest.reservations.values()
+    assert kept.spec.priority is Priority.LOW and kept.spec.team == "blue"
+    assert guest.answer(offer(c, hulls=["m4"])) != Refused("none of the machine types that it may run on is known here")
+    assert guest.answer(offer(c, hulls=["g8"])) == Refused("none of the machine types that it may run on is known here")
+    assert guest.answer(offer(c, quay="a")) == Refused("it may run in one zone of its home only")
+    bound = c.home.world.accept(c.home.node, shape="ensemble", shards=3, cpus=15.0, quay="a")
+    assert not c.home.home.eligible(c.home.term.ledger.jobs[bound], c.clock.now + 1000.0)
+    assert isinstance(guest.answer(Look("stranger", VERSION)), Refused)
+    told = guest.answer(Look("home", VERSION))
+    assert isinstance(told, Room) and told.free == 4 - sum(len(r.machines) for r in guest.reservations.values())
+
+
+def test_references_that_are_equal_in_two_clusters_do_not_meet() -> None:
+    """The guest's job has a reference drawn there; its own job of the same name is another."""
+    c = Clusters()
+    own = c.east.world.accept(c.east.node, ref=c.gang, shards=1, cpus=1.0)
+    assert own == c.gang
+    c.until(lambda: c.runs_in() == "east")
+    (record,) = c.east.guest.records.values()
+    assert record.ref == c.gang != record.job and c.gang in c.east.term.ledger.jobs
+
+
+# settling -------------------------------------------------------------------------------------------------
+
+
+def test_what_operators_settle_comes_home_and_is_ended_there_if_the_cluster_comes_back() -> None:
+    c = Clusters()
+    c.until(lambda: c.runs_in() == "east")
+    wire = c.home.links["east"]
+    wire.drop = lambda m: "request"
+    for w in c.east.workers:  # they are off, as the operators have made sure
+        w.lapse()
+        w.reachable = False
+    c.go(int(QUIET_S) + 5)  # and have waited for longer than it would start anything unasked
+    (gang,) = away(c.home.node.state, "east")
+    assert gang.ref == c.gang and not away(c.home.node.state, "west")
+    assert settle(c.home.node.state, gang, "somebody") and not settle(c.home.node.state, gang, "somebody")
+    c.go(15)
+    assert c.home.term.ledger.jobs[c.gang].startable() == 3 and c.home.home.lost
+    c.home.home.limits.overflow_after_s = lambda job, now: 1e9
+    c.finish(c.home)
+    c.until(lambda: c.runs_in() == "home")
+    # the cluster is back, with a record of a gang that it would start again
+    for w in c.east.workers:
+        w.reachable = True
+    wire.drop = lambda m: ""
+    assert c.east.guest.records
+    c.until(lambda: not c.home.home.lost, 200)
+    c.go(30)
+    assert c.runs_in() == "home" and not c.east.guest.records
+    assert not [k for k in c.home.world.state.data if k.startswith(PREFIX)]
+
+
+def test_settle_asks_for_a_sentence_and_changes_nothing_without_it(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    c = Clusters()
+    c.until(lambda: c.runs_in() == "east")
+    config = tmp_path / "settings.toml"
+    config.write_text(SETTINGS)
+    monkeypatch.setattr("grebestand.outside.http.HttpTransport", lambda *a, **k: c.home.world.state)
+    command = ["federation", "settle", "--config", str(config), "--cluster", "east", "--confirm"]
+    assert main([*command, "yes"]) == 1
+    assert len(away(c.home.node.state, "east")) == 1
+    assert "it runs twice" in capsys.readouterr().out.replace("\n", " ")
+    assert main([*command, "east is lost and runs nothing"]) == 0
+    assert f"{c.gang}: home again" in capsys.readouterr().out
+    assert main(["federation", "settle", "--config", str(config), "--cluster", "east"]) == 0
+    assert verbs.run.__module__.endswith("federation")
+
+
+def test_keys_from_the_command_line(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    a, b = str(tmp_path / "a"), str(tmp_path / "b")
+    for root, name in ((a, "home"), (b, "east")):
+        assert main(["federation", "keys", "create", "--dir", root, "--cluster", name]) == 0
+    assert main(["federation", "keys", "trust", "--dir", a, f"{b}/own/0001.pem"]) == 0
+    assert main(["federation", "keys", "rotate", "--dir", a]) == 0
+    assert main(["federation", "keys", "activate", "--dir", a]) == 0
+    capsys.readouterr()
+    assert main(["federation", "keys", "show", "--dir", a]) == 0
+    lines = capsys.readouterr().out.splitlines()
+    assert [line.split()[:2] for line in lines] == [["ready", "home"], ["active", "home"], ["trusted", "east"]]
+    assert main(["federation", "keys", "revoke", "--dir", a, lines[2].split()[6][:12]]) == 0
+    assert main(["federation", "keys", "create", "--dir", a, "--cluster", "home"]) == 2
+    told = capsys.readouterr().err
+    assert told.startswith("grebestand: federation: ") and told.count("\n") == 1
+
+
+# many clusters --------------------------------------------------------------------------------------------
+
+
+def test_more_clusters_cost_no_more_offers_for_each_gang() -> None:
+    few, many = simulate(2, 1.0, 3, 150), simulate(8, 1.0, 3, 150)
+    assert few.decided and many.decided
+    assert many.offers / many.gangs <= 3 * max(1.0, few.offers / few.gangs)
+    assert many.most_offers <= 12
+    assert many.reserved_share < 0.05
+    assert simulate(2, 1.0, 3, 150) == few  # the same seed, the same figures
+
+
+def test_the_tiny_world_is_one_model_with_the_stand_ins() -> None:
+    world = World()
+    status, _ = world.state.request("GET", "/store/none", b"", 1.0)
+    assert status == 404 and type(world.state).__module__ == "grebestand.standin.store"
