--- a/src/grebestand/commands/up.py
+++ b/src/grebestand/commands/up.py
@@ -54,7 +54,7 @@
                 site.machine("m16", "a")
             controllers.start_all()
             if not controllers.ready(30.0):
-                print("grebestand: up: no controller came to lead within 30 s", file=sys.stderr)
+                print(f"grebestand: up: no controller came to lead: {controllers.last_words()}", file=sys.stderr)
                 return 1
             for name, address in controllers.addresses.items():
                 print(f"{name}  http://{address}")
--- a/src/grebestand/doors/server.py
+++ b/src/grebestand/doors/server.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any, ClassVar
 
+from gevent import socket
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer, headers_factory
 
@@ -105,12 +106,21 @@
         super().handle(passed, address)
 
 
+def _listener_v6(host: str, port: int) -> Any:
+    """A listening socket on an IPv6 address; gevent's servers take names without brackets for IPv4."""
+    made = socket.socket(socket.AF_INET6, socket.SOCK_STREAM)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    made.bind((host, port))
+    made.listen(128)
+    return made
+
+
 def listen(address: str, field: str, app: App, most: int, gate: Gate | None = None) -> WSGIServer:
     """A server for so many connections at a time; `field` names the address in an error."""
     kind = WSGIServer if gate is None else _Gated
-    server = kind(
-        parse_address(address, field), app, spawn=Pool(most), log=None, error_log=_Quiet(), handler_class=_Handler
-    )
+    host, port = parse_address(address, field)
+    where = _listener_v6(host[1:-1], port) if host.startswith("[") else (host, port)
+    server = kind(where, app, spawn=Pool(most), log=None, error_log=_Quiet(), handler_class=_Handler)
     if gate is not None:
         server.gate = gate
     return server
--- a/src/grebestand/rehearsal/federation.py
+++ b/src/grebestand/rehearsal/federation.py
@@ -305,7 +305,7 @@
                 self.controllers[name].start_all()
             for name in self.names:
                 if not self.controllers[name].ready(25.0):
-                    raise RuntimeError(f"no controller of {name} came to lead; see {self.root / name}")
+                    raise RuntimeError(f"no controller of {name} came to lead: {self.controllers[name].last_words()}")
             begin = self.clock()
             users = [gevent.spawn(self._user, g, begin) for g in self.gangs]
             if plan.faults:
--- a/src/grebestand/standin/processes.py
+++ b/src/grebestand/standin/processes.py
@@ -98,9 +98,20 @@
         while self.site.clock() < end:
             if self.leader() is not None and any(p.token for p in self.site.yard.players.values()):
                 return True
+            if not any(self.alive(name) for name in self.names):
+                return False  # none is left that could
             gevent.sleep(0.1)
         return False
 
+    def last_words(self) -> str:
+        """The last line of each log, for when they do not come up."""
+        lines = []
+        for name in self.names:
+            file = self.root / f"{name}.log"
+            text = file.read_text("utf-8", "replace").strip() if file.exists() else ""
+            lines.append(f"{name}: {text.splitlines()[-1] if text else 'nothing in its log'}")
+        return "; ".join(lines)
+
     def stop(self) -> None:
         """Ends all that this has started, and nothing else."""
         for process in self._running.values():
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ast
+import tomllib
 from pathlib import Path
 
 import grebestand
@@ -53,3 +54,11 @@
             break
         edges = {m: targets for m, targets in edges.items() if m not in leaves}
     assert not edges, sorted(edges)
+
+
+def test_every_file_beside_the_code_is_installed_with_it() -> None:
+    """The shipped policy had moved to another package than the one it was listed for: an installed program had none."""
+    listed = tomllib.loads((ROOT.parent.parent / "pyproject.toml").read_text())["tool"]["setuptools"]["package-data"]
+    named = {ROOT.parent / package.replace(".", "/") / name for package, names in listed.items() for name in names}
+    found = {p for p in ROOT.rglob("*") if p.is_file() and p.suffix not in (".py", ".pyc")}
+    assert found == named
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -78,6 +78,20 @@
     assert status == 403 and b"'west'" in body and len(two.asked) == 1
 
 
+def test_the_link_speaks_ipv6_where_the_address_is_one(tmp_path: Path) -> None:
+    """An address in brackets was once taken for a name: neither side could use it."""
+    two = Two(tmp_path)
+    gate = LinkGate(Networks(["::1/128"]), two.ring, two.clock)
+    door = LinkDoor(two.ring, lambda: two.answer, lambda: None, two.clock)
+    server = listen(f"[::1]:{free_port()}", "listen", door.app, 4, gate)
+    server.start()
+    context = Ring(two.home, "home", two.clock).client("east")
+    wire = HttpTransport("[::1]", server.server_port, 1, tls=context)
+    assert two.tell(wire)[0] == 200
+    server.stop(timeout=0.1)
+    two.server.stop(timeout=0.1)
+
+
 def test_keys_rotate_with_overlap_and_no_restart(two: Two) -> None:
     """Made, handed over, used, and only then the old one revoked; each step leaves a link that works."""
     old = next(s for s in keys.show(two.home, NOW) if s.state == "active")
