A cluster that refuses is offered less; a question that was never asked silences nobody

Cause: a breaker lets one question through after a pause; if its asker then found no budget of bytes or repetitions, or asked another cluster first, the question was never asked, and the cluster was left alone until the next term (found by reading). And a cluster that only ever refuses was offered everything again. Ruled out: counting refusals as failures of the link (guests there must be asked about as before).

--- a/src/grebestand/federation/home.py
+++ b/src/grebestand/federation/home.py
@@ -60,6 +60,8 @@
 OFFER_AGAIN_S, ASK_S = 5.0, 2.0
 #: looks at other clusters' room, a second, however many there are
 LOOKS_PER_S = 2.0
+#: refusals in a row after which a cluster is offered nothing for a while, growing to so many seconds
+REFUSALS, REFUSED_S = 4, 30.0
 
 
 class Link(Protocol):
@@ -79,6 +81,12 @@
     #: it speaks another version: it is offered nothing
     strange: bool = False
     look_at: float = -math.inf
+    #: of offers only: one that refuses again and again is offered less, and asked about its guests as before
+    refusals: Breaker = field(init=False)
+
+    def __post_init__(self) -> None:
+        b = self.breaker
+        self.refusals = Breaker(f"{self.name} (offers)", b.clock, b.rng, REFUSALS, REFUSED_S)
 
 
 @dataclass
@@ -323,7 +331,7 @@
             trip = self.trips.get(job.spec.id) or Trip(job)
             if trip.state is not HomeState.WAITING or trip.next_at > now or trip.offers >= self.limits.most_offers:
                 continue
-            asked = self._likely(job, [c for c in self._ranked(job) if c.breaker.lets()], now)
+            asked = self._likely(job, self._ranked(job), now)
             if out >= self.limits.most_out or not asked or not self._offers.take(len(asked)):
                 return
             self.trips[job.spec.id] = trip
@@ -341,10 +349,16 @@
     def _likely(self, job: Job, ranked: list[Cluster], now: float) -> list[Cluster]:
         """Whom of these to ask at once: one that has just told of enough room is enough, as a second one's
         reservation would nearly always be in vain."""
-        told = ranked[0].told if ranked else None
-        if told is not None and now - told.at <= 2 * self.limits.look_s and fits(job, told.room):
-            return ranked[:1]
-        return ranked[: self.limits.at_once]
+        asked: list[Cluster] = []
+        for cluster in ranked:
+            told = cluster.told
+            has_room = told is not None and now - told.at <= 2 * self.limits.look_s and fits(job, told.room)
+            if not cluster.breaker.lets() or not (has_room or cluster.refusals.lets()):
+                continue
+            asked.append(cluster)
+            if len(asked) >= self.limits.at_once or (has_room and len(asked) == 1):
+                break
+        return asked
 
     def _offer(self, trip: Trip, asked: list[Cluster]) -> None:
         trip.reserved = {}
@@ -358,7 +372,9 @@
             if isinstance(answer, Reserved):
                 trip.reserved[cluster.name] = answer.id
                 self.counts["reserved"] += 1
+                cluster.refusals.answered()
             elif isinstance(answer, Refused):
+                cluster.refusals.failed(answer.why)
                 log.info("gang %s: %s does not take it: %s", trip.job.spec.id, cluster.name, answer.why)
         self._decide(trip)
 
--- a/tests/test_federation.py
+++ b/tests/test_federation.py
@@ -376,6 +376,38 @@
     assert b.state.name == "CLOSED"
 
 
+def test_a_question_that_was_let_through_and_never_asked_does_not_silence_a_cluster_for_good() -> None:
+    """One question goes after a pause; the asker may find no budget for it, and then nobody was ever asked again."""
+    clock = Clock()
+    b = Breaker("east", clock, random.Random(3))
+    while b.lets():
+        b.failed("no answer")
+    clock.now += 10.0
+    assert b.lets() and not b.lets()
+    clock.now += 10.0
+    assert b.lets() and not b.lets()
+    b.answered()
+    assert b.lets() and b.lets()
+
+
+def test_a_cluster_that_refuses_again_and_again_is_offered_less_and_asked_about_its_guests_as_before() -> None:
+    c = Clusters(looks=False)
+    c.until(lambda: c.runs_in() == "east")
+    for _ in range(10):
+        c.home.world.accept(c.home.node, shape="ensemble", shards=3, cpus=15.0)
+    wire = c.home.links["east"]
+    wire.sent.clear()
+    c.go(60)
+    cluster = c.home.home.clusters["east"]
+    assert cluster.refusals.state is not BreakerState.CLOSED and cluster.breaker.state is BreakerState.CLOSED
+    offers = [m for m in wire.sent if isinstance(m, Offer)]
+    asks = [m for m in wire.sent if isinstance(m, Ask)]
+    assert len(offers) <= 12 and len(asks) >= 20
+    c.finish(c.east)  # there is room again: its own word of it is enough
+    c.home.home._look_at(cluster)
+    c.until(lambda: any(r.ref != c.gang for r in c.east.guest.records.values()), 60)
+
+
 def offer(c: Clusters, **more: Any) -> Offer:
     spec = decode_spec(c.home.world.job(shape="ensemble", shards=2, cpus=15.0, **more))
     return Offer("home", spec, ["home"])
