Room that a cluster tells of is offered for at once, and only once

Cause: a gang that had been refused waited up to 160 s to be offered again, while the cluster told of room every few seconds; and all waiting gangs were offered the same word of room. Change: a gang whose pause is not over is offered when a cluster has told of enough room since, and what was offered for is taken off that word. Ruled out: shorter pauses for all (they cost offers where nobody has room).

--- a/src/grebestand/federation/home.py
+++ b/src/grebestand/federation/home.py
@@ -47,7 +47,7 @@
     Running,
     Unsure,
 )
-from .routing import Prefer, Told, by_room, fits, value
+from .routing import Prefer, Told, by_room, fits, value, without
 from .settle import PREFIX as SETTLED
 from .settle import Settled
 from .states import HOME_STEPS, HomeState
@@ -329,7 +329,9 @@
         due.sort(key=lambda j: (j.accepted_at, j.spec.id))
         for job in due:
             trip = self.trips.get(job.spec.id) or Trip(job)
-            if trip.state is not HomeState.WAITING or trip.next_at > now or trip.offers >= self.limits.most_offers:
+            if trip.state is not HomeState.WAITING or trip.offers >= self.limits.most_offers:
+                continue
+            if trip.next_at > now and not self._news(trip, now):
                 continue
             asked = self._likely(job, self._ranked(job), now)
             if out >= self.limits.most_out or not asked or not self._offers.take(len(asked)):
@@ -346,6 +348,17 @@
             key=lambda c: (-value(self.limits.prefer, job, c.told, now), c.name),
         )
 
+    def _news(self, trip: Trip, now: float) -> bool:
+        """Whether a cluster has told of room for it since it was last offered: its pause need not be waited for."""
+        return trip.offers > 0 and any(
+            c.told is not None
+            and c.told.at > trip.offered_at
+            and now - c.told.at <= self.limits.look_s
+            and not c.strange
+            and fits(trip.job, c.told.room)
+            for c in self.clusters.values()
+        )
+
     def _likely(self, job: Job, ranked: list[Cluster], now: float) -> list[Cluster]:
         """Whom of these to ask at once: one that has just told of enough room is enough, as a second one's
         reservation would nearly always be in vain."""
@@ -356,6 +369,8 @@
             if not cluster.breaker.lets() or not (has_room or cluster.refusals.lets()):
                 continue
             asked.append(cluster)
+            if told is not None:
+                cluster.told = without(told, job)  # the next gang is not offered the same room
             if len(asked) >= self.limits.at_once or (has_room and len(asked) == 1):
                 break
         return asked
--- a/src/grebestand/federation/routing.py
+++ b/src/grebestand/federation/routing.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import msgspec
+
 from ..books.jobs import Job
 from .messages import Room
 
@@ -37,6 +39,13 @@
     return prefer(job, told.room, now - told.at)
 
 
+def without(told: Told, job: Job) -> Told:
+    """What is left of a cluster's word once a gang has been offered to it."""
+    each = max(1, int(told.room.cpus // job.spec.cpus))
+    used = -(-job.spec.tasks // each)
+    return Told(msgspec.structs.replace(told.room, free=max(0, told.room.free - used)), told.at)
+
+
 def fits(job: Job, room: Room) -> bool:
     """Whether the gang would have fitted into what was told; a hint, as much may have changed."""
     return room.free * int(room.cpus // job.spec.cpus) >= job.spec.tasks
--- a/src/grebestand/rehearsal/many.py
+++ b/src/grebestand/rehearsal/many.py
@@ -65,6 +65,7 @@
     def __init__(self, name: str, names: list[str], clock: Clock, crowded: bool, load: float, seed: int) -> None:
         self.name = name
         self.clock = clock
+        #: of arrivals alone, so that two versions of the decisions are given the same gangs
         self.rng = random.Random(f"{seed} {name}")
         self.world = World(SETTINGS.replace("cpus_max = 64.0", "cpus_max = 6400.0"))
         self.world.clock = self.world.state.clock = clock
@@ -82,7 +83,7 @@
         vocabulary = Vocabulary(KEYS, NAMES)
         base = parse(DEFAULTS, "defaults", vocabulary)
         values = parse({"overflow_after_s": 3, "look_s": 5}, "simulation", vocabulary, base)
-        self.federation = Federation(values, self.world.settings, told, clock, self.rng, lambda work: work())
+        self.federation = Federation(values, self.world.settings, told, clock, random.Random(name), lambda work: work())
 
     def present(self) -> Term:
         return self.term
