--- a/src/grebestand/federation/feature.py
+++ b/src/grebestand/federation/feature.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 import time
 from collections.abc import Callable
@@ -31,6 +32,8 @@
 RECALL = "/federation/recall"
 #: greenlets that wait for other clusters at a time
 WORKERS = 32
+#: how old the zones' loads may be, in seconds: adding them up goes over all machines
+LOADS_S = 1.0
 
 #: names of expressions, and what they are where they mean nothing
 NAMES: dict[str, tuple[float, float]] = {
@@ -162,6 +165,9 @@
         self.guest: Guest | None = None
         self.term: Term | None = None
         self.pool = Pool(WORKERS)
+        #: the share of each zone's CPUs in use, and when it was added up
+        self._loads: dict[int, float] = {}
+        self._loads_at = -math.inf
         self.links: dict[str, Link] = {}
         self.breakers = {o.name: Breaker(o.name, self.clock, self.rng) for o in told.others}
         waits = [o.within_s for o in settings.params.objectives if o.kind == "guarantee" and o.within_s is not None]
@@ -254,13 +260,18 @@
     def _zone_load(self, job: Job) -> float:
         """The share of CPUs in use in the zone where least is: the gang's own, if it has to be one."""
         assert self.term is not None
-        used: dict[int, list[int]] = {}
-        for m in self.term.fleet.machines:
-            if job.zone < 0 or m.zone == job.zone:
+        now = self.clock()
+        if now - self._loads_at >= LOADS_S:
+            self._loads_at = now
+            used: dict[int, list[int]] = {}
+            for m in self.term.fleet.machines:
                 zone = used.setdefault(m.zone, [0, 0])
                 zone[0] += m.used[0]
                 zone[1] += m.room[0]
-        return min((a / b for a, b in used.values() if b), default=1.0)
+            self._loads = {z: a / b for z, (a, b) in used.items() if b}
+        if job.zone >= 0:
+            return self._loads.get(job.zone, 1.0)
+        return min(self._loads.values(), default=1.0)
 
     def prefer(self, job: Job, room: Room, age_s: float) -> float:
         names = {
--- a/src/grebestand/federation/home.py
+++ b/src/grebestand/federation/home.py
@@ -60,6 +60,8 @@
 OFFER_AGAIN_S, ASK_S = 5.0, 2.0
 #: looks at other clusters' room, a second, however many there are
 LOOKS_PER_S = 2.0
+#: between two looks through all waiting gangs, in seconds
+MORE_S = 0.5
 #: refusals in a row after which a cluster is offered nothing for a while, growing to so many seconds
 REFUSALS, REFUSED_S = 4, 30.0
 
@@ -163,6 +165,7 @@
         self._looking: set[str] = set()
         self._looks = Bucket(LOOKS_PER_S, term.clock)
         self._told_at = term.clock()
+        self._more_at = -math.inf
         #: what operators have settled, and is still to be ended wherever it may run after all
         self.lost: dict[str, Settled] = {}
         self.read_settled()
@@ -324,6 +327,9 @@
 
     def _offer_more(self, now: float) -> None:
         """Offers the gangs that have waited longest, within the bounds; a flood of them makes no stampede."""
+        if not self.clusters or now < self._more_at:
+            return
+        self._more_at = now + MORE_S
         out = sum(1 for t in self.trips.values() if t.state is not HomeState.WAITING)
         due = [j for j in self.term.ledger.waiting_jobs() if self.eligible(j, now)]
         due.sort(key=lambda j: (j.accepted_at, j.spec.id))
