A guest is never offered on: its record says that it is one

The state service fell silent in the write that took it in, so the guest's leader did not know that it had; its watch brought the job into the books as one of its own, which was offered on, and done in a third cluster; then home's news came again and, as one flag served both for 'abroad' and for 'home has not asked', started it here as well. Change: the live record itself says that the job is a guest, and so does the job however it comes into the books; home's silence has a flag of its own. Ruled out: a second decision by home (its record named one cluster throughout).

--- a/src/grebestand/books/jobs.py
+++ b/src/grebestand/books/jobs.py
@@ -64,7 +64,7 @@
         "abroad", "abroad_running", "accepted_at", "avoid", "away", "dirty", "displaced", "done", "done_count",
         "durable", "earned", "errors", "fresh", "granted", "granted_hi", "guaranteed", "guest", "hold_until",
         "image", "places", "preempt_at", "rank", "returned", "runs", "size", "spec", "stages", "started_at",
-        "state", "suspects", "team", "type", "unseen_below", "version", "wait_since", "why_waiting", "zone",
+        "state", "suspects", "team", "type", "unasked", "unseen_below", "version", "wait_since", "why_waiting", "zone",
     )  # fmt: skip
 
     def __init__(self, spec: JobSpec, version: int, accepted_at: float, team: int) -> None:
@@ -95,8 +95,9 @@
         self.abroad_running = 0
         #: another cluster runs it or may come to run it: nothing of it may start here
         self.away = False
-        #: it is another cluster's
+        #: it is another cluster's, and that has not asked about it lately: nothing more of it starts meanwhile
         self.guest = False
+        self.unasked = False
         self.errors = 0
         self.earned = False
         #: how often the whole gang was stopped to make room
@@ -135,7 +136,7 @@
 
     def waiting(self) -> int:
         """Tasks that are neither done nor anywhere."""
-        if not self.live or self.away:
+        if not self.live or self.away or self.unasked:
             return 0
         return max(0, self.spec.tasks - self.done_count - len(self.places))
 
--- a/src/grebestand/federation/guest.py
+++ b/src/grebestand/federation/guest.py
@@ -122,7 +122,7 @@
             job = term.ledger.jobs.get(record.job)
             if job is not None:
                 # home may have been told meanwhile that this cluster is lost: it starts when home asks about it
-                job.guest = job.away = True
+                job.guest = job.unasked = True
 
     def move(self, r: Reservation, new: GuestState, why: str) -> None:
         """The one function that changes a reservation's state; its machines are free again once it is none."""
@@ -243,7 +243,7 @@
             self.move(r, GuestState.STARTING, "decided at home")
         # a write that nobody answered may still be carried out: it is made again under the same names until it is known
         record = GuestRecord(r.home, r.ref, r.id, r.job)
-        live = msgspec.to_builtins(LiveRecord(r.spec, self.term.wall()))
+        live = msgspec.to_builtins(LiveRecord(r.spec, self.term.wall(), guest=True))
         conditions = [absent(guest_key(r.id)), absent(live_key(r.job)), absent(over_key(r.job))]
         changes = [
             put(guest_key(r.id), msgspec.to_builtins(record)),
@@ -262,17 +262,14 @@
             live, version = (found.value, found.version) if found is not None else (None, 0)
         if live is not None:
             self.term.jobs.take(live, version, self.term.clock())
-        job = self.term.ledger.jobs.get(r.job)
-        if job is not None:
-            job.guest = True
         return self._asked(record)
 
     def _asked(self, record: GuestRecord) -> Reply:
         """Home still counts on this cluster: what has no place may start."""
         self.heard[record.id] = self.term.clock()
         job = self.term.ledger.jobs.get(record.job)
-        if job is not None and job.away:
-            job.away = False
+        if job is not None and job.unasked:
+            job.unasked = False
             self.term.ledger.changed = True
         return self._status(record)
 
@@ -345,10 +342,10 @@
             job = self.term.ledger.jobs.get(record.job)
             if job is None or not job.live:
                 continue
-            if not job.away and now - self.heard.get(record.id, -math.inf) > QUIET_S:
-                job.away = True
+            if not job.unasked and now - self.heard.get(record.id, -math.inf) > QUIET_S:
+                job.unasked = True
                 log.info("guest %s of %s: home is silent; what runs goes on, nothing starts", record.ref, record.home)
-            if job.places or job.away:
+            if job.places or job.unasked:
                 continue
             if job.startable() == job.spec.tasks and now - job.wait_since > self.limits.give_back_s:
                 log.info(
--- a/src/grebestand/federation/home.py
+++ b/src/grebestand/federation/home.py
@@ -449,7 +449,8 @@
         """Sets or clears the name in the live record, conditional on the record as this leader knows it."""
         job = trip.job
         ident = job.spec.id
-        record = LiveRecord(job.spec, self.term.wall() - (self.term.clock() - job.accepted_at), abroad)
+        accepted = self.term.wall() - (self.term.clock() - job.accepted_at)
+        record = LiveRecord(job.spec, accepted, abroad, job.guest)
         change = put(live_key(ident), msgspec.to_builtins(record))
         version, failed = self.term.pen.commit([at(live_key(ident), job.version)], [change], Urgency.ACCEPT)
         if not failed:
--- a/src/grebestand/leading/live_jobs.py
+++ b/src/grebestand/leading/live_jobs.py
@@ -35,6 +35,7 @@
         age = min(max(0.0, self.basis.wall() - record.at), 86400.0)
         job = self.ledger.add(record.spec, version, now - age, now)
         job.wait_since = now
+        job.guest = record.guest
         if record.abroad is not None:
             job.abroad, job.away = record.abroad, True
 
--- a/src/grebestand/records/jobs.py
+++ b/src/grebestand/records/jobs.py
@@ -17,6 +17,8 @@
     at: float
     #: while this is set, nothing of the job may start here
     abroad: Abroad | None = None
+    #: another cluster's gang: however it comes into the books, it is never offered on
+    guest: bool = False
 
 
 class OverRecord(msgspec.Struct):
--- a/tests/test_federation.py
+++ b/tests/test_federation.py
@@ -406,6 +406,37 @@
     c.until(lambda: c.view() == "done")
 
 
+def test_a_guest_whose_taking_in_nobody_answered_is_never_offered_on() -> None:
+    """Found by a rehearsal (seed 47): the state service fell silent in the write that took a gang in. The
+    leader's watch brought it into the books as if it were a job of its own; it was offered on and done in a third cluster, and when
+    home's news came again it was started here as well. Its record itself says now that it is a guest."""
+    c = Clusters("east", "west")
+    c.home.links["west"].drop = lambda m: "request"
+    c.east.links = {"west": Wire(c.others[1])}
+    c.east.begin()
+    begin = c.clock.now
+
+    def silent(message: Message) -> str:
+        if isinstance(message, Commit) and not c.east.world.state.lose_answers and c.clock.now < begin + 40.0:
+            if any(isinstance(m, Commit) for m in c.home.links["east"].sent):
+                return "request"
+            c.east.world.state.lose_answers = 2
+            for w in c.east.workers:
+                w.reachable = False
+        return ""
+
+    c.home.links["east"].drop = silent
+    c.go(40)
+    east = next(iter(c.east.guest.records.values()), None) or next(iter(c.east.guest.reservations.values()))
+    job = c.east.term.ledger.jobs[east.job]
+    assert job.guest and job.abroad is None and not c.others[1].guest.records
+    for w in c.east.workers:
+        w.reachable = True
+    c.until(lambda: c.runs_in() == "east", 200)
+    c.finish(c.east)
+    c.until(lambda: c.view() == "done")
+
+
 def test_a_question_that_was_let_through_and_never_asked_does_not_silence_a_cluster_for_good() -> None:
     """One question goes after a pause; the asker may find no budget for it, and then nobody was ever asked again."""
     clock = Clock()
