--- a/tests/test_federation.py
+++ b/tests/test_federation.py
@@ -407,9 +407,9 @@
 
 
 def test_a_guest_whose_taking_in_nobody_answered_is_never_offered_on() -> None:
-    """Found by a rehearsal (seed 47): the state service fell silent in the write that took a gang in. The
-    leader's watch brought it into the books as if it were a job of its own; it was offered on and done in a third cluster, and when
-    home's news came again it was started here as well. Its record itself says now that it is a guest."""
+    """Found by a rehearsal: the state service fell silent in the write that took a gang in. The leader's watch brought
+    it into the books as if it were a job of its own; it was offered on and done in a third cluster, and when home's
+    news came again it was started here as well. Its record itself says now that it is a guest."""
     c = Clusters("east", "west")
     c.home.links["west"].drop = lambda m: "request"
     c.east.links = {"west": Wire(c.others[1])}
