Read once more: one reader of what is revoked, and no work where none is due

Found in reading the change: the revoked fingerprints were read by two pieces of code and certificates hashed twice; 'has told of room' and the names of an expression were written out twice; every request of workers was asked who its gate had found, though only the link has a gate; the stand-ins made a client for each report and threw it away; two counters of the link and one of the stand-in were never read; settling listed a record's fields instead of clearing the one it means. Room was taken off a cluster's word also when the offer was then not sent: it is taken off once it is sent.

--- a/src/grebestand/doors/server.py
+++ b/src/grebestand/doors/server.py
@@ -80,9 +80,12 @@
     def log_request(self) -> None:
         return
 
+
+class _GatedHandler(_Handler):
+    """Says who the gate has found at the other end."""
+
     def get_environ(self) -> Any:
         found = super().get_environ()
-        # who a gate has found at the other end
         found["grebestand.peer"] = getattr(self.socket, "peer", None)
         return found
 
@@ -124,10 +127,10 @@
 
 def listen(address: str, field: str, app: App, most: int, gate: Gate | None = None) -> WSGIServer:
     """A server for so many connections at a time; `field` names the address in an error."""
-    kind = WSGIServer if gate is None else _Gated
+    kind, handler = (WSGIServer, _Handler) if gate is None else (_Gated, _GatedHandler)
     host, port = parse_address(address, field)
     where = _listener_v6(host[1:-1], port) if host.startswith("[") else (host, port)
-    server = kind(where, app, spawn=Pool(most), log=None, error_log=_Quiet(), handler_class=_Handler)
+    server = kind(where, app, spawn=Pool(most), log=None, error_log=_Quiet(), handler_class=handler)
     if gate is not None:
         server.gate = gate
     return server
--- a/src/grebestand/federation/feature.py
+++ b/src/grebestand/federation/feature.py
@@ -247,14 +247,13 @@
 
     # expressions ------------------------------------------------------------------------------------------
 
+    def _names(self, job: Job, **more: float) -> dict[str, float]:
+        """What an expression about a gang may use."""
+        gang = {"gang_size": float(job.spec.tasks), "gang_cpus": job.spec.cpus * job.spec.tasks}
+        return {**self.rest, **gang, **more}
+
     def overflow_after_s(self, job: Job, now: float) -> float:
-        names = {
-            **self.rest,
-            "waited_s": now - job.accepted_at,
-            "gang_size": float(job.spec.tasks),
-            "gang_cpus": job.spec.cpus * job.spec.tasks,
-            "zone_load": self._zone_load(job),
-        }
+        names = self._names(job, waited_s=now - job.accepted_at, zone_load=self._zone_load(job))
         return self.values.value("overflow_after_s", names)
 
     def _zone_load(self, job: Job) -> float:
@@ -274,16 +273,14 @@
         return min(self._loads.values(), default=1.0)
 
     def prefer(self, job: Job, room: Room, age_s: float) -> float:
-        names = {
-            **self.rest,
-            "gang_size": float(job.spec.tasks),
-            "gang_cpus": job.spec.cpus * job.spec.tasks,
-            "free_machines": float(room.free),
-            "told_age_s": age_s,
-            "has_image": float(job.spec.image in room.images),
-            "image_gb": job.spec.image_gb,
-            "price": room.price,
-        }
+        names = self._names(
+            job,
+            free_machines=float(room.free),
+            told_age_s=age_s,
+            has_image=float(job.spec.image in room.images),
+            image_gb=job.spec.image_gb,
+            price=room.price,
+        )
         return self.values.value("prefer", names)
 
 
--- a/src/grebestand/federation/home.py
+++ b/src/grebestand/federation/home.py
@@ -339,9 +339,14 @@
                 continue
             if trip.next_at > now and not self._news(trip, now):
                 continue
+            if out >= self.limits.most_out:
+                return
             asked = self._likely(job, self._ranked(job), now)
-            if out >= self.limits.most_out or not asked or not self._offers.take(len(asked)):
+            if not asked or not self._offers.take(len(asked)):
                 return
+            for cluster in asked:
+                if cluster.told is not None:
+                    cluster.told = without(cluster.told, job)  # the next gang is not offered the same room
             self.trips[job.spec.id] = trip
             out += 1
             self._work(trip, lambda trip, asked=asked: self._offer(trip, asked))  # type: ignore[misc]
@@ -354,14 +359,18 @@
             key=lambda c: (-value(self.limits.prefer, job, c.told, now), c.name),
         )
 
+    @staticmethod
+    def _has_room(cluster: Cluster, job: Job, since: float) -> bool:
+        """Whether it has told of room for the whole gang since then."""
+        return cluster.told is not None and cluster.told.at >= since and fits(job, cluster.told.room)
+
     def _news(self, trip: Trip, now: float) -> bool:
         """Whether a cluster has told of room for it since it was last offered: its pause need not be waited for."""
         return trip.offers > 0 and any(
-            c.told is not None
+            not c.strange
+            and c.told is not None
             and c.told.at > trip.offered_at
-            and now - c.told.at <= self.limits.look_s
-            and not c.strange
-            and fits(trip.job, c.told.room)
+            and self._has_room(c, trip.job, now - self.limits.look_s)
             for c in self.clusters.values()
         )
 
@@ -370,13 +379,10 @@
         reservation would nearly always be in vain."""
         asked: list[Cluster] = []
         for cluster in ranked:
-            told = cluster.told
-            has_room = told is not None and now - told.at <= 2 * self.limits.look_s and fits(job, told.room)
+            has_room = self._has_room(cluster, job, now - 2 * self.limits.look_s)
             if not cluster.breaker.lets() or not (has_room or cluster.refusals.lets()):
                 continue
             asked.append(cluster)
-            if told is not None:
-                cluster.told = without(told, job)  # the next gang is not offered the same room
             if len(asked) >= self.limits.at_once or (has_room and len(asked) == 1):
                 break
         return asked
--- a/src/grebestand/federation/keys.py
+++ b/src/grebestand/federation/keys.py
@@ -27,6 +27,8 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 
+from .ring import revoked
+
 #: a certificate is good from so long before it was made: clocks of other clusters may be behind
 BEFORE = dt.timedelta(hours=1)
 
@@ -155,13 +157,6 @@
     return path
 
 
-def revoked(root: Path) -> set[str]:
-    try:
-        return {line.strip() for line in (root / "revoked").read_text().splitlines() if line.strip()}
-    except FileNotFoundError:
-        return set()
-
-
 def revoke(root: Path, prefix: str) -> Shown:
     """Believes a certificate no more, from the next connection on; named by the beginning of its fingerprint."""
     found = [s for s in show(root, dt.datetime.now(dt.UTC)) if s.fingerprint.startswith(prefix.lower())]
--- a/src/grebestand/federation/link.py
+++ b/src/grebestand/federation/link.py
@@ -49,9 +49,6 @@
         self.rng = rng
         self._leader: str | None = None
         self._open: dict[str, tuple[int, Transport]] = {}
-        #: bytes and messages sent, for the log
-        self.bytes = 0
-        self.messages = 0
 
     def tell(self, message: Message) -> Reply | None:
         """The answer of the cluster's leader; None if there was none that can be relied on.
@@ -87,8 +84,6 @@
         transport = self._transport(name)
         if transport is None:
             return None
-        self.messages += 1
-        self.bytes += len(body)
         try:
             status, answer = transport.request("POST", PATH, body, timeout)
             if status != 200:
--- a/src/grebestand/federation/ring.py
+++ b/src/grebestand/federation/ring.py
@@ -28,6 +28,14 @@
     """One line that names what is missing or cannot be read."""
 
 
+def revoked(root: Path) -> set[str]:
+    """Fingerprints that are not believed any more."""
+    try:
+        return set((root / "revoked").read_text().split())
+    except FileNotFoundError:
+        return set()
+
+
 class Ring:
     def __init__(self, root: Path, cluster: str, clock: Callable[[], float]) -> None:
         """Raises `RingFault` if there is nothing to begin with; later faults are logged, and the old keys stay."""
@@ -68,15 +76,15 @@
         try:
             name = (self.root / "cluster").read_text().strip()
             number = (self.root / "active").read_text().strip()
-            gone_file = self.root / "revoked"
-            gone = set(gone_file.read_text().split()) if gone_file.exists() else set()
+            gone = revoked(self.root)
         except OSError as e:
             raise RingFault(f"{self.root}: {e.strerror}: {Path(e.filename or '').name}") from e
         if name != self.cluster:
             raise RingFault(f"{self.root}: keys of {name!r}, not of {self.cluster!r}")
         pem, key = self.root / "own" / f"{number}.pem", self.root / "own" / f"{number}.key"
         owners: dict[str, str] = {}
-        believed: dict[str, list[str]] = {}
+        #: of each cluster: fingerprints and certificates
+        believed: dict[str, list[tuple[str, str]]] = {}
         for path in sorted((self.root / "trusted").glob("*/*.pem")):
             try:
                 text = path.read_text()
@@ -84,7 +92,7 @@
             except (OSError, ValueError) as e:
                 raise RingFault(f"{path}: not a certificate: {e}") from e
             owners[mark] = path.parent.name
-            believed.setdefault(path.parent.name, []).append(text)
+            believed.setdefault(path.parent.name, []).append((mark, text))
 
         def context(side: int, texts: list[str]) -> ssl.SSLContext:
             made: ssl.SSLContext = gssl.SSLContext(side)
@@ -100,10 +108,10 @@
             return made
 
         # what is revoked is let through the handshake and refused after it, so that the log can say so
-        server = context(ssl.PROTOCOL_TLS_SERVER, [t for texts in believed.values() for t in texts])
+        server = context(ssl.PROTOCOL_TLS_SERVER, [text for pairs in believed.values() for _, text in pairs])
         clients = {}
-        for peer, texts in believed.items():
-            good = [t for t in texts if hashlib.sha256(ssl.PEM_cert_to_DER_cert(t)).hexdigest() not in gone]
+        for peer, pairs in believed.items():
+            good = [text for mark, text in pairs if mark not in gone]
             clients[peer] = context(ssl.PROTOCOL_TLS_CLIENT, good)
         self._server, self._clients, self._owners, self._revoked = server, clients, owners, gone
         self.edition += 1
--- a/src/grebestand/federation/routing.py
+++ b/src/grebestand/federation/routing.py
@@ -29,7 +29,7 @@
 
 def by_room(job: Job, room: Room, age_s: float) -> float:
     """Without an expression: clusters with room for the whole gang first, by what they have free."""
-    return float(room.free) + (1e6 if room.free * max(1, int(room.cpus // job.spec.cpus)) >= job.spec.tasks else 0.0)
+    return float(room.free) + (1e6 if fits(job, room) else 0.0)
 
 
 def value(prefer: Prefer, job: Job, told: Told | None, now: float) -> float:
--- a/src/grebestand/federation/settle.py
+++ b/src/grebestand/federation/settle.py
@@ -53,7 +53,7 @@
 
 def settle(state: StateClient, gang: Away, by: str) -> bool:
     """One transaction: the gang is home's again, and who said so is on record. False if it has changed meanwhile."""
-    record = LiveRecord(gang.record.spec, gang.record.at, None, gang.record.guest)
+    record = msgspec.structs.replace(gang.record, abroad=None)
     word = Settled(gang.cluster, gang.ref, gang.id, by)
     _, failed = state.commit(
         [at(live_key(gang.ref), gang.version)],
--- a/src/grebestand/standin/site.py
+++ b/src/grebestand/standin/site.py
@@ -43,7 +43,7 @@
 
 
 class Store:
-    """The state service behind HTTP: watches wait, requests are counted, and it can fall silent, refuse or be late."""
+    """The state service behind HTTP: watches wait, requests are limited, and it can fall silent, refuse or be late."""
 
     def __init__(self, clock: Callable[[], float], rps: float = 2000.0) -> None:
         self.model = StoreModel(clock)
@@ -51,7 +51,7 @@
         self.rps = rps
         self.silent = False
         self.late_s = 0.0
-        self.requests = self.writes = 0
+        self.writes = 0
         self._second: list[float] = []
         self._changed = Event()
         self.server = serve(self.handle)
@@ -67,7 +67,6 @@
         if len(self._second) >= self.rps:
             return 429, b"{}"
         self._second.append(now)
-        self.requests += 1
         if path.startswith("/changes"):
             return self._watch(path)
         status, answer = self.model.request(method, path, body, 0.0)
@@ -214,8 +213,10 @@
         address = self.controllers.get(at)
         if address is None:
             return following, False
-        host, _, port = address.rpartition(":")
-        wire = wires.setdefault(address, HttpTransport(host, int(port), 1))
+        wire = wires.get(address)
+        if wire is None:
+            host, _, port = address.rpartition(":")
+            wire = wires[address] = HttpTransport(host, int(port), 1)
         sent = self.clock()
         report = player.report()
         try:
