What stopping costs is looked up once for all teams; a crowded fleet's passes rest longer

Change: what a machine holds is sorted by price once for everybody and kept until the machine or the targets change; what a template lets in is kept by type, not by size; tables are bounded by entries, so that thirteen teams' fit; a job's live state and due times are not computed at each look; a pass that takes 20 ms or more comes each half second at most, not each quarter.

Ruled out: skipping jobs that found nothing while nothing changed anywhere: in a crowded fleet something ends 50 times a second, so it would skip nothing.

--- a/src/grebestand/books/jobs.py
+++ b/src/grebestand/books/jobs.py
@@ -62,8 +62,8 @@
 
     __slots__ = (
         "abroad", "abroad_running", "accepted_at", "avoid", "away", "dirty", "displaced", "done", "done_count",
-        "durable", "earned", "errors", "fresh", "granted", "granted_hi", "guaranteed", "guest", "hold_until",
-        "image", "places", "preempt_at", "rank", "returned", "runs", "size", "spec", "stages", "started_at",
+        "durable", "earned", "ends", "errors", "fresh", "granted", "granted_hi", "guaranteed", "guest", "hold_until",
+        "image", "live", "places", "preempt_at", "rank", "returned", "runs", "size", "spec", "stages", "started_at",
         "state", "suspects", "team", "type", "unasked", "unseen_below", "version", "wait_since", "why_waiting", "zone",
     )  # fmt: skip
 
@@ -79,6 +79,8 @@
         self.zone = -1
         self.image = -1
         self.state = JobState.WAITING
+        #: whether it is WAITING or ACTIVE; kept beside the state, since every pass asks it of every job many times
+        self.live = True
         self.done = bytearray((spec.tasks + 7) // 8)
         self.durable = bytearray((spec.tasks + 7) // 8)
         self.done_count = 0
@@ -112,6 +114,8 @@
         self.unseen_below = 0
         self.guaranteed = False
         self.wait_since = accepted_at
+        #: when it has to be done for its aims, once that has been looked up
+        self.ends: list[float] | None = None
         #: when a task of it last got a place
         self.started_at = accepted_at
         self.preempt_at = -math.inf
@@ -127,10 +131,6 @@
     def gang(self) -> bool:
         return self.spec.kind is Kind.GANG
 
-    @property
-    def live(self) -> bool:
-        return self.state in (JobState.WAITING, JobState.ACTIVE)
-
     def unfinished(self) -> int:
         return self.spec.tasks - self.done_count
 
--- a/src/grebestand/books/ledger.py
+++ b/src/grebestand/books/ledger.py
@@ -101,6 +101,7 @@
             return
         step(JOB_STEPS, job.state, new, job.spec.id)
         job.state = new
+        job.live = new is JobState.WAITING or new is JobState.ACTIVE
         if new is JobState.WAITING:
             job.wait_since = now
         elif new is JobState.CLOSING:
--- a/src/grebestand/decisions/aims.py
+++ b/src/grebestand/decisions/aims.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..books.jobs import Job, Place
+from ..books.jobs import Job
 from ..books.learned import RunTimes
 from ..settings.platform import Objective
 
@@ -25,11 +25,14 @@
                 table.setdefault(o.klass, []).append(o.within_s)
 
     def ends(self, job: Job) -> list[float]:
-        """When the job has to be done for its aims."""
+        """When the job has to be done for its aims; found once, as nothing of it ever changes."""
+        if job.ends is not None:
+            return job.ends
         ends = [job.accepted_at + w for w in self.within.get(job.spec.klass, ())]
         if job.spec.deadline_s is not None:
             times = self.deadline_times.get(job.spec.klass) or [1.0]
             ends += [job.accepted_at + t * job.spec.deadline_s for t in times]
+        job.ends = ends
         return ends
 
     def urgency(self, job: Job, now: float) -> tuple[object, ...]:
@@ -52,10 +55,12 @@
             group, value = 2, job.accepted_at
         return (not job.guaranteed, job.rank, group, value, job.accepted_at)
 
-    def tight(self, victim: Place, now: float) -> bool:
-        """Whether a task that can still make an aim of its job would miss it if it were stopped."""
-        job = victim.job
+    def tight(self, job: Job, run_at: float | None, now: float) -> bool:
+        """Whether a task that can still make an aim of its job would miss it if it were stopped.
+
+        `run_at` is when it began to run, of a task that keeps its progress; None: it would start anew.
+        """
         rest = self.run_times.run_s(job)
-        if job.spec.checkpoint_s > 0 and victim.run_at is not None:
-            rest = max(0.0, rest - (now - victim.run_at))
+        if run_at is not None:
+            rest = max(0.0, rest - (now - run_at))
         return any(0 <= end - now - rest < TIGHT_S for end in self.ends(job))
--- a/src/grebestand/decisions/clearing.py
+++ b/src/grebestand/decisions/clearing.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import logging
+import operator
+from typing import NamedTuple
 
 from ..books.amounts import fits, plus, times
 from ..books.jobs import Job, Place
@@ -13,6 +15,19 @@
 
 log = logging.getLogger("grebestand.clearing")
 
+#: what is known of a machine that was not looked at
+NOT_RANKED: tuple[int, list[tuple[float, Place]]] = (-1, [])
+
+
+class Stake(NamedTuple):
+    """What is the same for all places of a job when one of them is to be stopped."""
+
+    #: of a second of its work, in CPU seconds, gangs counted whole
+    price: float
+    saves: bool
+    #: it counts for more: within a guarantee, or about to miss an aim
+    dear: bool
+
 
 class Clearing(Decision):
     def __init__(self, view: View, aims: Aims) -> None:
@@ -20,17 +35,19 @@
         self.aims = aims
         #: teams over their guarantee when the pass began: only they can be asked to give room back
         self.borrowers: set[int] = set()
-        #: by machine, then by priority and the team that takes its guarantee back
-        self._options: dict[int, dict[tuple[int, int], list[tuple[float, Place]]]] = {}
+        #: by machine: its count of edits, and what it holds, the cheapest to stop first
+        self._ranked: dict[int, tuple[int, list[tuple[float, Place]]]] = {}
+        #: by job, what is the same for all its places
+        self._stakes: dict[Job, Stake] = {}
 
     def begin(self) -> None:
         """A full pass begins."""
         self.borrowers = {t for t, team in enumerate(self.ledger.teams) if team.borrows()}
-        self._options = {}
 
-    def forget(self, m: Machine) -> None:
-        """What was found on a machine may have changed since."""
-        self._options.pop(m.index, None)
+    def forget(self) -> None:
+        """Time has passed, so that what stopping costs has to be looked up again."""
+        self._ranked = {}
+        self._stakes = {}
 
     def _may_displace(self, job: Job, victim: Place, reclaims: bool) -> bool:
         """Only the protocol's cases: higher priority, or a guarantee against another team's borrowing."""
@@ -53,32 +70,46 @@
         others = job.guaranteed and bool(self.borrowers - {job.team})
         return job.team if others and now - job.wait_since >= self.knobs.reclaim_after_s else -1
 
-    def _victims(self, job: Job, m: Machine, now: float) -> list[tuple[float, Place]]:
-        """What the job may displace on a machine, the cheapest first; found once a pass for jobs alike."""
-        team = self.reclaims_for(job, now)
-        known = self._options.setdefault(m.index, {})
-        found = known.get((job.rank, team))
-        if found is None:
-            found = [(self._loss(p, now), p) for p in m.places.values() if self._may_displace(job, p, team >= 0)]
-            found.sort(key=lambda o: o[0])
-            known[job.rank, team] = found
+    def _victims(self, m: Machine, now: float) -> list[tuple[float, Place]]:
+        """All that a machine holds, the cheapest to stop first, whoever asks.
+
+        Sorted once for everybody: once for each team that took its guarantee back, with the same places and the same
+        prices each time, was most of what a pass cost in a crowded fleet. Looked up again when the machine changes,
+        and with each new targets since prices grow with time.
+        """
+        edits, found = self._ranked.get(m.index, NOT_RANKED)
+        if edits != m.edits:
+            found = sorted(
+                ((self._loss(p, now), p) for p in m.places.values() if p.stop is None), key=operator.itemgetter(0)
+            )
+            self._ranked[m.index] = m.edits, found
         return found
 
+    def _stake(self, job: Job, now: float) -> Stake:
+        known = self._stakes.get(job)
+        if known is None:
+            spec = job.spec
+            tasks = spec.tasks if job.gang else 1
+            # what was stopped before should not be the cheapest again: some gangs were placed nine times
+            price = (1.0 + job.displaced) * tasks * max(job.size[0], 1) / 1e6
+            saves = spec.checkpoint_s > 0
+            dear = job.guaranteed or (not saves and self.aims.tight(job, None, now))
+            known = self._stakes[job] = Stake(price, saves, dear)
+        return known
+
     def _loss(self, victim: Place, now: float) -> float:
         """Machine time that stopping this task throws away, gangs counted whole."""
-        spec = victim.job.spec
+        job = victim.job
+        stake = self._stake(job, now)
         if victim.run_at is None:
             # its cores have stood still for an image that it will need again elsewhere
             seconds = 1.0 + now - victim.made_at
-        elif spec.checkpoint_s > 0:
-            seconds = spec.save_s + 1.0
+        elif stake.saves:
+            seconds = job.spec.save_s + 1.0
         else:
             seconds = now - victim.run_at
-        tasks = spec.tasks if victim.job.gang else 1
-        # what was stopped before should not be the cheapest again: some gangs were placed nine times
-        again = 1.0 + victim.job.displaced
-        dearer = 3.0 if victim.job.guaranteed or self.aims.tight(victim, now) else 1.0
-        return again * dearer * tasks * (1.0 + seconds) * max(victim.job.size[0], 1) / 1e6
+        dear = stake.dear or (stake.saves and self.aims.tight(job, victim.run_at, now))
+        return (3.0 if dear else 1.0) * stake.price * (1.0 + seconds)
 
     def hopeless(self, job: Job, m: Machine, reclaims: bool) -> bool:
         """Whether not even all that the job may displace there, and what leaves already, would make room for a task.
@@ -100,24 +131,24 @@
                     room = plus(room, place.job.size)
         victims: list[Place] = []
         cost = 0.0
-        options = iter(self._victims(job, m, now))
-        while not fits(need, room):
-            option = next(options, None)
-            if option is None:
-                return None
-            loss, place = option
-            if place.stop is not None or place.state is PlaceState.GONE:
-                continue  # since the list was made
-            victims.append(place)
-            cost += loss
-            room = plus(room, place.job.size)
-        return victims, cost
+        reclaims = self.reclaims_for(job, now) >= 0
+        for loss, place in self._victims(m, now):
+            if fits(need, room):
+                break
+            # what has gone or was stopped since the list was made is not asked again
+            if place.state is not PlaceState.GONE and self._may_displace(job, place, reclaims):
+                victims.append(place)
+                cost += loss
+                room = plus(room, place.job.size)
+        return (victims, cost) if fits(need, room) else None
 
     def displace(self, victims: list[Place], job: Job, now: float) -> None:
+        if victims:
+            names = ", ".join(f"{v.job.spec.id}/{v.index}" for v in victims)
+            log.info("stopped to make room for %s: %s", job.spec.id, names)
         for victim in victims:
             other = victim.job
             grace = other.spec.save_s + 1.0 if other.spec.checkpoint_s > 0 else 0.0
-            log.info("%s/%d is stopped to make room for %s", other.spec.id, victim.index, job.spec.id)
             if other.gang:
                 other.displaced += 1
                 self.dispatch.stop_job(other, "preempted", grace, now)
--- a/src/grebestand/decisions/gangs.py
+++ b/src/grebestand/decisions/gangs.py
@@ -14,7 +14,7 @@
 from .clearing import Clearing
 from .images import Images
 from .placing import PLACED_LAST, Placing
-from .view import MACHINES_A_STEP, Decision, Steps, View, remembered
+from .view import MACHINES_A_STEP, Decision, Steps, View
 
 log = logging.getLogger("grebestand.gangs")
 
@@ -124,7 +124,6 @@
                 break
             offers = [o for o in offers if o.machine not in stale]
             for m in sorted(stale, key=lambda m: m.index):
-                self.clearing.forget(m)
                 if self.fleet.usable(m, now):
                     offers += self.offers(job, m, rooms, now)
             chosen = self.choose(job, offers)
@@ -205,7 +204,7 @@
         most = max((how_many(job.size, room) for room in self.fleet.rooms), default=0)
         patient = self.clearing.patient(job, self.knobs.preempt_after_s, now)
         key = job.size, job.rank, self.clearing.reclaims_for(job, now), patient, min(job.spec.tasks, most)
-        return remembered(self._known, key)
+        return self._remembered(self._known, key)
 
     def offers(self, job: Job, m: Machine, rooms: dict[int, tuple[int, list[Room]]], now: float) -> list[Offer]:
         """What a machine could do for a gang: free room now, or room that stopping other work would free.
--- a/src/grebestand/decisions/placing.py
+++ b/src/grebestand/decisions/placing.py
@@ -10,7 +10,7 @@
 from ..wire.jobs import PRIORITIES
 from .clearing import Clearing
 from .images import Images
-from .view import MACHINES_A_STEP, STARTS_A_STEP, Decision, Steps, View, remembered
+from .view import MACHINES_A_STEP, STARTS_A_STEP, Decision, Steps, View
 
 log = logging.getLogger("grebestand.placing")
 
@@ -40,8 +40,8 @@
         #: machines where the pass has found something to stop, the cheapest last, by type and the team that takes its
         #: guarantee back; who uses one takes it from the list
         self._clearable: dict[tuple[int, int], list[Machine]] = {}
-        #: slots that were found, by type, size and age of jobs: by machine, with its count of edits then
-        self._known: dict[tuple[int, Amounts, bool], dict[int, tuple[int, int]]] = {}
+        #: what templates let in, by type and age of jobs: by machine, with its count of edits then
+        self._known: dict[tuple[int, bool], dict[int, tuple[int, int]]] = {}
 
     def begin(self) -> None:
         """A full pass begins. Slots that are known stay known: each is held against its machine's count of edits."""
@@ -71,7 +71,7 @@
         for job in self.queue:
             if job.size[0] > m.free[0] or not job.live or job.spec.one_zone or job.spec.spread:
                 continue
-            alike = job.type, now - job.wait_since >= self.knobs.period_s
+            alike = job.type, self._aged(job, now)
             if alike in refused and fits(refused[alike], job.size):
                 continue
             if self.view.features.veto(job, now) is not None:
@@ -125,27 +125,35 @@
         room = how_many(job.size, m.free)
         if room <= 0:
             return 0
-        room = min(room, MOST_PLACES - len(m.places))
-        if m.errors:  # on probation: one task shows whether it works again, a full load would all be lost
-            room = min(room, 1 - len(m.places))
         if m.reserved_for == job.spec.id:
-            return room
-        if m.accept:
-            own = (m.config[job.type] if job.type < len(m.config) else 0) - m.slots_used(job.type)
-            if own > 0:
-                return min(room, own)
-            if not self.knobs.lend_spare:
+            return min(room, self._most(m))
+        return min(room, self._allowance(job.type, job.rank, self._aged(job, now), m, blocked_types))
+
+    def _aged(self, job: Job, now: float) -> bool:
+        """Whether it has waited for a period, so that it may have room on machines of the reject group."""
+        return now - job.wait_since >= self.knobs.period_s
+
+    @staticmethod
+    def _most(m: Machine) -> int:
+        """Whatever the template: as many as a report can name, and one on probation, as a full load would be lost."""
+        return (1 if m.errors else MOST_PLACES) - len(m.places)
+
+    def _allowance(self, kind: int, rank: int, aged: bool, m: Machine, blocked_types: set[int]) -> int:
+        """How many more tasks of a type a machine's template and group let in, whatever their size."""
+        most = self._most(m)
+        if not m.accept:
+            return most if aged or m.rank == 0 else 0
+        own = (m.config[kind] if kind < len(m.config) else 0) - m.slots_used(kind)
+        if own > 0:
+            return min(most, own)
+        if not self.knobs.lend_spare:
+            return 0
+        # spare slots of other types may be borrowed while nobody of theirs waits, if their own type may
+        # take them back by preemption
+        for k, n in enumerate(m.config):
+            if n > 0 and k != kind and (k in blocked_types or self.ledger.types[k].rank >= rank):
                 return 0
-            # spare slots of other types may be borrowed while nobody of theirs waits, if their own type may
-            # take them back by preemption
-            mine = job.rank
-            for k, n in enumerate(m.config):
-                if n > 0 and k != job.type:
-                    higher = self.ledger.types[k].rank < mine
-                    if k in blocked_types or not higher:
-                        return 0
-            return room
-        return room if now - job.wait_since >= self.knobs.period_s or m.rank == 0 else 0
+        return most
 
     def place(self, job: Job, roomy: list[Machine], ready: list[Machine], now: float, has_reserved: bool) -> Steps:
         """Gives a job's waiting tasks the slots there are on machines with room, and if need be clears some."""
@@ -155,21 +163,26 @@
             return
         turn = self.view.turn
         options: list[tuple[tuple[object, ...], int, Machine]] = []
-        aged = now - job.wait_since >= self.knobs.period_s
+        aged = self._aged(job, now)
         alike = job.type, job.image, aged
         hopeless = self._no_slot.get(alike)
-        # slots depend on a job's size and age, not on its image; machines reserved for one job are no rule for others
-        known = {} if has_reserved else remembered(self._known, (job.type, job.size, aged))
+        # templates speak of types, not of sizes: what a machine lets in is looked up once for all jobs of a type
+        known = self._remembered(self._known, (job.type, aged))
         if hopeless is None or has_reserved or not fits(hopeless, job.size):
             for looked, m in enumerate(roomy, 1):
                 if not looked % MACHINES_A_STEP:
                     yield
                 if job.size[0] > m.free[0]:
                     continue
-                edits, n = known.get(m.index, NOT_SEEN)
-                if edits != m.edits or has_reserved:
+                if has_reserved and m.reserved_for == job.spec.id:
                     n = self._slots_for(job, m, self.blocked, now)
-                    known[m.index] = m.edits, n
+                else:
+                    edits, n = known.get(m.index, NOT_SEEN)
+                    if edits != m.edits:
+                        n = self._allowance(job.type, job.rank, aged, m, self.blocked)
+                        known[m.index] = m.edits, n
+                    if n > 0:
+                        n = min(n, how_many(job.size, m.free))
                 if n > 0 and self.allowed(job, m) and self.images.worth_fetching(job, m, now):
                     options.append((self.preference(job, m), n, m))
             if not options and not job.avoid:
--- a/src/grebestand/decisions/scheduler.py
+++ b/src/grebestand/decisions/scheduler.py
@@ -46,6 +46,7 @@
         yield from self.targets.set(now)
         self.placing.forget()
         self.gangs.forget()
+        self.clearing.forget()
         yield from self.images.measure()
         yield
         if spare and self.view.knobs.migrate:
--- a/src/grebestand/decisions/view.py
+++ b/src/grebestand/decisions/view.py
@@ -21,24 +21,15 @@
 Steps = Iterator[None]
 #: machines that are looked at in one step, and starts that are made in one
 MACHINES_A_STEP, STARTS_A_STEP = 200, 200
-#: tables of what was found on machines that one pass keeps at a time
-MOST_TABLES = 24
+#: tables of what was found on machines that are kept at a time, and entries in all of them: a dozen teams that may
+#: each take a guarantee back need more tables than that, and a fleet of thousands has no memory for more
+FEWEST_TABLES, MOST_ENTRIES = 24, 60_000
 
 
 K = TypeVar("K")
 V = TypeVar("V")
 
 
-def remembered(tables: dict[K, dict[int, V]], key: K) -> dict[int, V]:
-    """The table under a key, made if there is none; of many, the oldest is let go: each may name every machine."""
-    found = tables.get(key)
-    if found is None:
-        if len(tables) >= MOST_TABLES:
-            del tables[next(iter(tables))]
-        found = tables[key] = {}
-    return found
-
-
 class View:
     def __init__(
         self,
@@ -73,3 +64,12 @@
     @property
     def knobs(self) -> Knobs:
         return self.view.knobs
+
+    def _remembered(self, tables: dict[K, dict[int, V]], key: K) -> dict[int, V]:
+        """The table under a key, made if there is none; of too many, the oldest is let go."""
+        found = tables.get(key)
+        if found is None:
+            if len(tables) >= max(FEWEST_TABLES, MOST_ENTRIES // max(1, len(self.fleet.machines))):
+                del tables[next(iter(tables))]
+            found = tables[key] = {}
+        return found
--- a/src/grebestand/leading/pace.py
+++ b/src/grebestand/leading/pace.py
@@ -19,8 +19,8 @@
 #: after a computation the leader answers workers and users for so many times as long as it took
 REST = 6.0
 #: a short pass is followed by a longer rest in proportion, up to so much between two beginnings: starts ride on
-#: reports, and those come every few seconds
-LIGHT_REST, PASS_GAP_S = 25.0, 0.25
+#: reports, and those come every few seconds. What waits makes a pass long, and then it is made half as often
+LIGHT_REST, PASS_GAP_S = 25.0, 0.5
 #: a computation lets others run after so long
 SLICE_S = 0.04
 
--- a/tests/test_steps.py
+++ b/tests/test_steps.py
@@ -333,3 +333,45 @@
     world.accept(node, shape="ensemble", shards=9, cpus=15.0)
     term.scheduler.place(world.clock.now)
     assert all(job.places for job in term.ledger.jobs.values()) and len(looked) == 12
+
+
+def test_what_is_remembered_from_one_pass_to_the_next_is_what_a_fresh_look_finds() -> None:
+    """Passes keep what machines let in and what they hold by price, by the count of a machine's edits. An edit that
+    was not counted would start tasks where a template has no slot, or stop the wrong ones."""
+    rng = random.Random(5)
+    world = World(rules="rent = false\ntype_bound = 6\n")
+    node = Node(world, "node-0")
+    term = node.lead()
+    for i in range(12):
+        world.worker(f"n-{i:06d}", zone="ab"[i % 2])
+    world.settle(term, 3)
+    looked = 0
+    for _ in range(120):
+        shape = rng.choice(["array", "array", "ensemble"])
+        world.accept(
+            node, shape=shape, crew=rng.choice(["red", "blue"]), rank=rng.choice(["high", "standard", "best_effort"]),
+            pullGb=0.5, shards=rng.randint(1, 12 if shape == "array" else 2), cpus=rng.choice([1.0, 2.0, 7.0]),
+        )  # fmt: skip
+        for w in world.workers.values():
+            w.reachable = rng.random() < 0.95
+            for task in w.running():
+                if rng.random() < 0.1:
+                    w.finish(task, Why.ERROR if rng.random() < 0.02 else Why.DONE)
+        world.settle(term, 2)
+        now = world.clock.now
+        term.scheduler.retarget(now) if rng.random() < 0.2 else term.scheduler.place(now)
+        placing, clearing = term.scheduler.placing, term.scheduler.clearing
+        for (kind, aged), known in placing._known.items():
+            rank = term.ledger.types[kind].rank
+            for index, (edits, allowance) in known.items():
+                m = term.fleet.at(index)
+                if m is not None and m.edits == edits:
+                    looked += 1
+                    assert placing._allowance(kind, rank, aged, m, placing.blocked) == allowance
+        for index, (edits, ranked) in clearing._ranked.items():
+            m = term.fleet.at(index)
+            if m is not None and m.edits == edits:
+                looked += 1
+                assert {p.name for _, p in ranked} == {n for n, p in m.places.items() if p.stop is None}
+                assert [loss for loss, _ in ranked] == sorted(loss for loss, _ in ranked)
+    assert looked > 500
