Machines are passed over by what other teams borrow; random schedules of failures

Change: each machine knows the CPUs of each priority and team; nothing is priced where nothing would be stopped; a type without a slot anywhere is not looked for again with each image; reports without room for the smallest task are passed over.

Tests: hypothesis draws schedules of cuts (six ways), crashes, outages, hangs and heals over three controllers; rules are checked from the workers' and users' own records, and every accepted job has to be done. Two breaks made on purpose, authority counted too long and machines not suspected after a takeover, are found.

--- a/src/grebestand/books/fleet.py
+++ b/src/grebestand/books/fleet.py
@@ -97,6 +97,8 @@
         m.free = minus(m.room, m.used)
         m.slots[job.type] = m.slots.get(job.type, 0) + 1
         m.rank_cpus[job.rank] += job.size[0]
+        whose = job.rank, job.team
+        m.team_cpus[whose] = m.team_cpus.get(whose, 0) + job.size[0]
         m.edits += 1
         if job.image not in m.images:
             m.pulls[job.image] = m.pulls.get(job.image, 0) + 1
@@ -109,6 +111,10 @@
         m.slots[job.type] -= 1
         m.freed_at = now
         m.rank_cpus[job.rank] -= job.size[0]
+        whose = job.rank, job.team
+        m.team_cpus[whose] -= job.size[0]
+        if not m.team_cpus[whose]:
+            del m.team_cpus[whose]
         m.edits += 1
         m.news = True
         if job.image in m.pulls:
--- a/src/grebestand/books/machine.py
+++ b/src/grebestand/books/machine.py
@@ -17,7 +17,7 @@
         "accept", "addr", "blocked_until", "config", "doom_at", "drain", "edits", "empty_since", "error_at",
         "error_jobs", "errors", "free", "freed_at", "given_at", "heard_at", "images", "index", "kind",
         "leaving", "name", "news", "places", "pulls", "rank", "rank_cpus", "recorded", "reserved_for",
-        "reserved_until", "room", "seq", "session", "slots", "slowness", "spot", "state", "token", "used",
+        "reserved_until", "room", "seq", "session", "slots", "slowness", "spot", "state", "team_cpus", "token", "used",
         "zone",
     )  # fmt: skip
 
@@ -37,6 +37,8 @@
         self.places: dict[str, Place] = {}
         #: CPUs (millionths) that tasks of each priority take, the highest first
         self.rank_cpus = [0] * len(PRIORITIES)
+        #: the same by priority and team
+        self.team_cpus: dict[tuple[int, int], int] = {}
         #: how many of them have been told to stop
         self.leaving = 0
         self.state = MachineState.NEW
--- a/src/grebestand/decisions/clearing.py
+++ b/src/grebestand/decisions/clearing.py
@@ -114,11 +114,16 @@
     def hopeless(self, job: Job, m: Machine, reclaims: bool) -> bool:
         """Whether not even all that the job may displace there, and what leaves already, would make room for a task.
 
-        A look at what each priority uses; most machines are passed over by it.
+        A look at what each priority uses, and of its own priority what teams beyond their guarantee do; most machines
+        are passed over by it.
         """
         if m.leaving:
             return False
-        cpus = m.free[0] + sum(m.rank_cpus[job.rank + (not reclaims) :])
+        cpus = m.free[0] + sum(m.rank_cpus[job.rank + 1 :])
+        if reclaims and cpus < job.size[0]:
+            cpus += sum(
+                n for (r, t), n in m.team_cpus.items() if r == job.rank and t != job.team and t in self.borrowers
+            )
         return cpus < job.size[0]
 
     def eviction(self, job: Job, m: Machine, tasks: int, now: float) -> tuple[list[Place], float] | None:
--- a/src/grebestand/decisions/placing.py
+++ b/src/grebestand/decisions/placing.py
@@ -33,10 +33,14 @@
         self.clearing = clearing
         #: jobs that waited at the end of the last full pass, in order of service
         self.queue: list[Job] = []
+        #: CPUs (millionths) of the smallest task among them
+        self.least = 0
         #: types of which something waited at the last full pass
         self.blocked: set[int] = set()
-        #: sizes for which the pass has found no slot, by type and whether the job has waited for a period
+        #: sizes for which the pass has found no slot, by type, image and whether the job has waited for a period
         self._no_slot: dict[tuple[int, int, bool], Amounts] = {}
+        #: sizes for which no machine's template had one, whatever the image
+        self._slotless: dict[tuple[int, ...], Amounts] = {}
         #: machines where the pass has found something to stop, the cheapest last, by type and the team that takes its
         #: guarantee back; who uses one takes it from the list
         self._clearable: dict[tuple[int, int], list[Machine]] = {}
@@ -49,9 +53,14 @@
         if blocked != self.blocked:
             self.forget()
         self.blocked = blocked
-        self._no_slot = {}
+        self._no_slot, self._slotless = {}, {}
         self._clearable = {}
 
+    def end(self, waiting: list[Job]) -> None:
+        """A full pass is over: what waits now is what reports' room is given to."""
+        self.queue = [j for j in waiting if not j.gang and j.waiting() > 0]
+        self.least = min((j.size[0] for j in self.queue), default=0)
+
     def forget(self) -> None:
         """Templates have changed, or whose spare slots may be borrowed."""
         self._known = {}
@@ -62,7 +71,9 @@
         On hundreds of machines a full pass at each report would take more than a whole core. Gangs, and arrays
         whose tasks depend on where the others are, wait for the next full pass.
         """
-        if not self.queue or not m.news or m.reserved_for is not None or not self.fleet.usable(m, now):
+        if not self.queue or m.free[0] < self.least or not m.news:
+            return
+        if m.reserved_for is not None or not self.fleet.usable(m, now):
             return
         # what the last pass found no room for here finds none now unless something has changed on this machine
         m.news = False
@@ -168,7 +179,10 @@
         hopeless = self._no_slot.get(alike)
         # templates speak of types, not of sizes: what a machine lets in is looked up once for all jobs of a type
         known = self._remembered(self._known, (job.type, aged))
-        if hopeless is None or has_reserved or not fits(hopeless, job.size):
+        # where no template has a slot, none has one for other images either
+        slotless = self._slotless.get(alike[::2])
+        if has_reserved or not ((hopeless and fits(hopeless, job.size)) or (slotless and fits(slotless, job.size))):
+            slots = False
             for looked, m in enumerate(roomy, 1):
                 if not looked % MACHINES_A_STEP:
                     yield
@@ -183,9 +197,13 @@
                         known[m.index] = m.edits, n
                     if n > 0:
                         n = min(n, how_many(job.size, m.free))
-                if n > 0 and self.allowed(job, m) and self.images.worth_fetching(job, m, now):
-                    options.append((self.preference(job, m), n, m))
-            if not options and not job.avoid:
+                if n > 0:
+                    slots = True
+                    if self.allowed(job, m) and self.images.worth_fetching(job, m, now):
+                        options.append((self.preference(job, m), n, m))
+            if not slots:
+                self._slotless[alike[::2]] = job.size
+            elif not options and not job.avoid:
                 self._no_slot[alike] = job.size
         options.sort(key=lambda o: o[0])
         # from here on the books are read as they are now
@@ -286,7 +304,8 @@
 
     def _evicted(self, job: Job, m: Machine, now: float) -> tuple[list[Place], float] | None:
         """What would be stopped there for one task, and what that costs."""
-        if m.reserved_for is not None or m.leaving or not self.allowed(job, m):
+        # where a task would fit, it is the template that does not let it in: there is nothing to be stopped for it
+        if m.reserved_for is not None or m.leaving or fits(job.size, m.free) or not self.allowed(job, m):
             return None
         found = self.clearing.eviction(job, m, 1, now)
         return found if found is not None and found[0] else None
--- a/src/grebestand/decisions/scheduler.py
+++ b/src/grebestand/decisions/scheduler.py
@@ -67,7 +67,7 @@
         """A full pass, cut into steps: every job that waits, over every machine."""
         waiting = [j for j in self.ledger.waiting_jobs() if now >= j.hold_until and j.startable() > 0]
         if not waiting:
-            self.placing.queue = []
+            self.placing.end([])
             return
         self.ledger.rate_guarantees()
         waiting.sort(key=lambda j: self.aims.urgency(j, now))
@@ -103,4 +103,4 @@
                 yield from self.gangs.place(job, ready, now, job.spec.id in reserved)
             else:
                 yield from self.placing.place(job, roomy, ready, now, job.spec.id in reserved)
-        self.placing.queue = [j for j in waiting if not j.gang and j.waiting() > 0]
+        self.placing.end(waiting)
--- /dev/null
+++ b/tests/test_schedules.py
@@ -0,0 +1,118 @@
+"""Random schedules of cuts, crashes and outages over several real controllers, and breaks that the search finds."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+import hypothesis.strategies as st
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+
+from grebestand.leading.leadership import Leadership
+from grebestand.standin.several import STATE, Several, Way
+from grebestand.standin.virtual import simulated
+
+NODES = ("node-0", "node-1", "node-2")
+ENDS = (STATE, "a", "b", *NODES)
+WAYS = (Way.OPEN, Way.REFUSED, Way.HELD, Way.ASKS_LOST, Way.ANSWERS_LOST, Way.SLOW)
+
+cuts = st.tuples(st.just("cut"), st.sampled_from(NODES), st.sampled_from(ENDS), st.sampled_from(WAYS))
+crashes = st.tuples(st.just("crash"), st.sampled_from(NODES), st.floats(1.0, 12.0))
+outages = st.tuples(st.just("outage"), st.floats(2.0, 25.0))
+hangs = st.tuples(st.just("hang"), st.integers(0, 11), st.floats(2.0, 40.0))
+heals = st.tuples(st.just("heal"))
+schedules = st.lists(st.tuples(st.floats(0.5, 12.0), cuts | crashes | outages | hangs | heals), min_size=3, max_size=9)
+#: the same in every run, and without a bound on how long one may take
+SEARCH = settings(
+    derandomize=True,
+    max_examples=8,
+    deadline=None,
+    database=None,
+    phases=[Phase.generate],  # a smaller example would cost hundreds of plays
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def back(world: Several, name: str) -> None:
+    if world.nodes[name] is None:
+        world.start(name)
+
+
+def do(world: Several, event: tuple[object, ...]) -> None:
+    match event:
+        case ("cut", str(near), str(far), Way() as way) if near != far:
+            world.links.set(near, far, way)
+        case ("crash", str(name), float(seconds)):
+            world.crash(name)
+            gevent.spawn_later(seconds, back, world, name)
+        case ("outage", float(seconds)):
+            world.state.down = True
+            gevent.spawn_later(seconds, setattr, world.state, "down", False)
+        case ("hang", int(index), float(seconds)):
+            seat = world.machines[f"n-{index:06d}"]
+            seat.hung = True
+            gevent.spawn_later(seconds, setattr, seat, "hung", False)
+        case ("heal",):
+            world.links.heal()
+
+
+def played(
+    schedule: list[tuple[float, tuple[object, ...]]], seed: int, longest_s: float = 12.0
+) -> tuple[list[str], list[str]]:
+    """What was broken while a schedule ran, and accepted jobs that were not done long after it was over."""
+    with simulated() as loop:
+        world = Several(loop, seed=seed, machines=12)
+        world.task_s = (3.0, longest_s)
+        world.crowd(4.0, 30.0 + sum(pause for pause, _ in schedule))
+        gevent.sleep(8)
+        for pause, event in schedule:
+            gevent.sleep(pause)
+            do(world, event)
+        gevent.sleep(15)
+        world.links.heal()
+        world.state.down = False
+        for name in NODES:
+            back(world, name)
+        gevent.sleep(110)
+        lost = [ref for ref, j in world.jobs.items() if j.accepted_at is not None and j.done_at is None]
+        return world.broken(), lost
+
+
+@SEARCH
+@given(schedules, st.integers(0, 10_000))
+def test_no_rule_breaks_and_nothing_is_lost_under_any_schedule(
+    schedule: list[tuple[float, tuple[object, ...]]], seed: int
+) -> None:
+    assert played(schedule, seed) == ([], [])
+
+
+def longer_authority(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Authority that is not counted from when the renewal left."""
+    extend = Leadership._extend
+    monkeypatch.setattr(Leadership, "_extend", lambda self, sent: extend(self, sent + 8.0))
+
+
+def no_suspects(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A new leader that takes what it has not seen for nowhere."""
+    from grebestand.books.ledger import Ledger
+
+    monkeypatch.setattr(Ledger, "suspect", lambda self, job, machines, hi: None)
+
+
+@pytest.mark.parametrize("break_it", [longer_authority, no_suspects])
+def test_a_break_made_on_purpose_is_found(
+    monkeypatch: pytest.MonkeyPatch, break_it: Callable[[pytest.MonkeyPatch], None]
+) -> None:
+    break_it(monkeypatch)
+    found: list[str] = []
+    for seed in range(6):
+        # one after the other stands alone with the workers of a zone that the others do not reach
+        schedule: list[tuple[float, tuple[object, ...]]] = []
+        for name in NODES:
+            others = [n for n in NODES if n != name]
+            schedule += [(0.0, ("cut", name, far, Way.HELD)) for far in (STATE, *others)]
+            schedule += [(0.0, ("cut", other, "a", Way.HELD)) for other in others]
+            schedule += [(26.0, ("heal",))]
+        found += played(schedule, seed, longest_s=40.0)[0]
+    assert found
