Whoever hears of a resignation removes the key, also if another is to lead next

Cause, found in reading: a leader that cannot reach the state service tells the others that its token is given up; if the heir cannot be reached either, only one that is not the heir could remove the key, and it did not.

Change: all try to remove it, conditional on its token as before; only the heir takes the lead at once. Ruled out: the heir alone, with the end of the hold as the last resort, 12 s later.

--- a/src/grebestand/process/handover.py
+++ b/src/grebestand/process/handover.py
@@ -171,13 +171,14 @@
         self.peers.tell_resigned(self.name, token, heir)
 
     def succeed(self, gone: Resigned) -> None:
-        """A peer has resigned: its key may go, and this controller may take the lead."""
-        if gone.heir not in ("", self.name):
+        """A peer has resigned: its key may go, and this controller takes the lead or leaves it to the heir for now."""
+        mine = gone.heir in ("", self.name)
+        if not mine:
             self.heir_until = self.clock() + HEIR_S
-            return
         try:
+            # the one that resigned may have reached nobody but this controller
             self.leadership.clear_key(gone.token)
-            if self.leadership.state is LeaderState.FOLLOWING:
+            if mine and self.leadership.state is LeaderState.FOLLOWING:
                 self.leadership.look()
         except StateError as e:
             log.info("the key of %s could not be cleared: %s", gone.name, e)
