A field of the simulated users that nothing read is gone

Cause, found in reading the change once more: what a user last saw of a job was declared and never set. Change: the field is removed.

--- a/src/grebestand/standin/several.py
+++ b/src/grebestand/standin/several.py
@@ -252,7 +252,6 @@
     asked_at: float
     accepted_at: float | None = None
     done_at: float | None = None
-    view: str = ""
 
 
 class Several:
