A worker is answered only while what the leader knows of cancellations is recent; users cancel in the simulated world

Cause: authority was time alone. A leader refused by the state service, or back after an outage, went on with old books: it renewed leases and could start what other controllers had told users is cancelled, until its watch spoke; while it read the records it answered workers without stops, and an answer to a report of an older token carried none either. PAUSED to LEADING reads first. Nothing is answered while records are read; reports are kept for a moment instead. Every answer that renews a lease stops what it lists of jobs that are over. Cancellations are told to the other controllers in their greeting, as a help. The world of several controllers: users cancel and repeat submissions, holds have their full time after an outage, an open watch says nothing to a controller refused alone, late writes, slow answers, commands held up.

--- a/src/grebestand/books/jobs.py
+++ b/src/grebestand/books/jobs.py
@@ -63,8 +63,8 @@
     """A live job. Only tasks that have a place cost an object; the rest are bits and a cursor."""
 
     __slots__ = (
-        "abroad", "abroad_running", "accepted_at", "avoid", "away", "begun", "dirty", "displaced", "done",
-        "done_count", "doubtful", "durable", "earned", "ends", "errors", "failed_at", "fails_after_s",
+        "abroad", "abroad_running", "accepted_at", "answers_until", "avoid", "away", "begun", "dirty", "displaced",
+        "done", "done_count", "doubtful", "durable", "earned", "ends", "errors", "failed_at", "fails_after_s",
         "fresh", "granted", "granted_hi", "guaranteed", "guest", "hold_until", "image", "live", "places",
         "preempt_at", "rank", "returned", "runs", "size", "spec", "stages", "started_at", "state",
         "suspects", "team", "type", "unasked", "unseen_below", "version", "wait_since", "why_waiting",
@@ -75,6 +75,8 @@
         self.spec = spec
         self.version = version
         self.accepted_at = accepted_at
+        #: of a cancelled one: a machine that still has a task of it is answered until then, so its lease ends in time
+        self.answers_until = math.inf
         self.team = team
         self.size = size_of(spec)
         #: of its priority, the highest being 0
--- a/src/grebestand/doors/peers.py
+++ b/src/grebestand/doors/peers.py
@@ -44,6 +44,8 @@
         self.on_news: Callable[[], None] = lambda: None
         #: told of a controller that led, and has begun anew: its term is over
         self.ended: Callable[[str], None] = lambda name: None
+        #: told of jobs that another controller has told its users are cancelled
+        self.on_cancelled: Callable[[list[str]], None] = lambda idents: None
         #: done and running tasks of each job, as the leader last told
         self.leader_counts: dict[str, tuple[int, int]] = {}
         #: addresses of workers, as the leader last told
@@ -52,6 +54,8 @@
         self.cached_images = CachedImages()
 
     def _take_hello(self, hello: Hello) -> None:
+        if hello.cancelled:
+            self.on_cancelled(hello.cancelled)
         if hello.token:
             self.leader_counts = hello.counts
             self.samples = hello.samples or self.samples
--- a/src/grebestand/doors/users.py
+++ b/src/grebestand/doors/users.py
@@ -85,6 +85,8 @@
         self.machine_types = machine_types
         self.counts = counts
         self.finals = finals
+        #: told of a job that has just been cancelled here
+        self.on_cancelled: Callable[[str], None] = lambda ident: None
         #: asks whoever runs a gang in another cluster to end it
         self.recall: Callable[[str], None] = lambda ident: None
         self.features = features
@@ -263,6 +265,7 @@
                 if not failed:
                     self.finals.remember(ident, record)
                     log.info("cancelled %s", ident)
+                    self.on_cancelled(ident)
                     return Answer(200, _json.encode(JobAnswer(ident, JobView.CANCELLED)))
                 if self.clock() > end:
                     return _error(503, "the job changes too often", 1)
--- a/src/grebestand/doors/workers.py
+++ b/src/grebestand/doors/workers.py
@@ -8,6 +8,7 @@
 
 from ..leading.leadership import Leadership
 from ..leading.term import Term
+from ..states import LeaderState
 from ..wire.jobs import Malformed
 from ..wire.workers import Elsewhere, Report
 from .answer import Answer
@@ -16,8 +17,9 @@
 _report_decoder = msgspec.json.Decoder(Report)
 
 
-#: a report is kept so long, in seconds, while the leader hangs; workers wait four for an answer
-KEPT_S = 2.5
+#: a report is kept so long, in seconds, while the leader hangs, or while this one reads the records; workers wait four
+#: for an answer
+KEPT_S = 1.8
 
 
 class WorkerDoor:
@@ -34,7 +36,7 @@
             report = _report_decoder.decode(body)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as e:
             return Answer(400, _json.encode({"error": str(e)}))
-        answer = self._ordered(report)
+        answer = self._ordered(report) or self._once_loaded(report)
         if answer is not None:
             return answer
         leader = self.leadership.known_leader()
@@ -42,7 +44,7 @@
             # sent there, or on to the next, its worker would wait four seconds at each controller that stands still,
             # and come back after its lease; this one may lead in a moment
             self.wait(KEPT_S)
-            answer = self._ordered(report)
+            answer = self._ordered(report) or self._once_loaded(report)
             if answer is not None:
                 return answer
             leader = self.leadership.known_leader()
@@ -52,6 +54,13 @@
             return Answer(421, _json.encode(Elsewhere(leader)))
         return Answer(503, b"{}", retry_after=1)
 
+    def _once_loaded(self, report: Report) -> Answer | None:
+        """While this controller reads the records it can answer nobody, and will in a moment: the report is kept."""
+        if self.leadership.state is not LeaderState.LOADING:
+            return None
+        self.wait(KEPT_S)
+        return self._ordered(report)
+
     def _ordered(self, report: Report) -> Answer | None:
         """The answer of this controller's own term, if it may give one."""
         self.leadership.check_clock()
--- a/src/grebestand/leading/checkins.py
+++ b/src/grebestand/leading/checkins.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from ..states import LeaderState, MachineState, Reception
+from ..books.machine import Machine
+from ..states import JobState, LeaderState, MachineState, Reception
 from ..wire.jobs import MAX_TASKS, Malformed, split_task
 from ..wire.workers import Orders, Report
 from .basis import Basis, Part
@@ -53,6 +54,8 @@
         known = m or self.fleet.by_name.get(report.machine)
         if known is not None and known.reception is Reception.DEAF and known.state is not MachineState.LAPSED:
             return None  # an answer would renew its lease if it came through, and its end could not be proved
+        if known is not None and known.leaving and self._defies(known, now):
+            return None
         if m is None:
             return self._nothing_new(report)
         if m.token == self.token:
@@ -62,7 +65,7 @@
             self.rentals.arrived(m.name)
         self.proof.check(now)
         if m.state is MachineState.GONE:
-            return Orders(self.token, [])
+            return Orders(self.token, self.basis.answers.unwanted(report))
         self.pace.step(now)
         if self.leadership.state is LeaderState.LEADING:
             self.basis.scheduler.fill(m, now)
@@ -78,13 +81,27 @@
         if (m.session, m.seq) != (report.session, report.seq):
             return self._nothing_new(report)  # a newer report came meanwhile
         # what a report of an older token lists may have changed since, and may not be all: nothing follows from it
-        commands = self.basis.answers.commands(m, report, now) if m.token == self.token else []
+        answers = self.basis.answers
+        commands = answers.commands(m, report, now) if m.token == self.token else answers.unwanted(report)
         m.given_at = now
         return Orders(self.token, commands)
 
     def _nothing_new(self, report: Report) -> Orders:
-        """The answer to a report that came late. If it did not, but its worker counts anew, this renews its lease."""
+        """The answer to a report that came late. If it did not, but its worker counts anew, this renews its lease.
+
+        So even this stops what must not be there: a chain of such answers, each by a new leader, would keep it up.
+        """
         known = self.fleet.by_name.get(report.machine)
         if known is not None:
             known.given_at = self.clock()
-        return Orders(self.token, [])
+        return Orders(self.token, self.basis.answers.unwanted(report))
+
+    @staticmethod
+    def _defies(m: Machine, now: float) -> bool:
+        """Whether it still lists a cancelled task that an answer would now keep up for too long: its lease has to end.
+
+        What else is on it is lost with that. An answer that arrives carries the stop, so that only a machine which does
+        not do as it is told comes to this.
+        """
+        over = JobState.CANCELLED
+        return any(p.job.state is over and now > p.job.answers_until for p in m.places.values())
--- a/src/grebestand/leading/leadership.py
+++ b/src/grebestand/leading/leadership.py
@@ -16,6 +16,7 @@
 from ..limits.budget import Urgency
 from ..outside.state import HoldGone, StateClient, StateError, absent, at, delete, put
 from ..states import LEADER_STEPS, LeaderState, step
+from .knowledge import Knowledge
 
 log = logging.getLogger("grebestand.leadership")
 
@@ -40,7 +41,14 @@
 
 
 class Leadership:
-    def __init__(self, name: str, state: StateClient, clock: Callable[[], float], ttl_s: float) -> None:
+    def __init__(
+        self,
+        name: str,
+        state: StateClient,
+        clock: Callable[[], float],
+        ttl_s: float,
+        knowledge: Knowledge | None = None,
+    ) -> None:
         self.name = name
         self.store = state
         self.clock = clock
@@ -49,6 +57,8 @@
         self.token = 0
         self.hold = 0
         self.authority_until = 0.0
+        #: what the present term knows of cancellations
+        self.knowledge = knowledge if knowledge is not None else Knowledge(clock)
         self.leader: str | None = None
         #: when the key was last read
         self.looked_at = -math.inf
@@ -75,8 +85,18 @@
         self.on_move(old, new)
 
     def entitled(self) -> bool:
-        """Whether commands and answers to workers may be given right now, by this controller's own clock."""
-        return self.state in (LeaderState.LOADING, LeaderState.LEADING) and self.clock() < self.authority_until
+        """Whether commands and answers to workers may be given right now, by this controller's own clock.
+
+        Two things: nobody else can be entitled yet, and what was cancelled without this controller's having heard of it
+        was cancelled so lately that the leases which its answers renew end in time (`leading.knowledge`).
+        """
+        in_time = self.state in (LeaderState.LOADING, LeaderState.LEADING) and self.clock() < self.authority_until
+        return in_time and self.knowledge.fresh()
+
+    def caught_up(self, token: int, sent: float) -> None:
+        """The term of this token has taken the answer to a current read that was sent then."""
+        if token == self.token:
+            self.knowledge.caught_up(sent)
 
     def known_leader(self) -> str | None:
         """Who leads, as far as this controller has read it lately.
@@ -97,6 +117,8 @@
     def check_clock(self) -> None:
         if self.state in (LeaderState.LOADING, LeaderState.LEADING) and self.clock() >= self.authority_until:
             self.move(LeaderState.PAUSED, "the hold could not be renewed in time")
+        elif self.state is LeaderState.LEADING and not self.knowledge.fresh():
+            self.move(LeaderState.PAUSED, f"cancellations are known up to {self.knowledge.age_s:.1f} s ago only")
 
     # following --------------------------------------------------------------------------------------------
 
@@ -138,6 +160,7 @@
         if failed:
             return
         self.token, self.hold, self.leader = revision, hold, self.name
+        self.knowledge.begin()
         self.free_since = None
         self._extend(sent)
         self.move(LeaderState.LOADING, "took the key")
--- a/src/grebestand/leading/live_jobs.py
+++ b/src/grebestand/leading/live_jobs.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import logging
+import math
 
 import msgspec
 
-from ..outside.state import TooOld
+from ..outside.state import StateError, TooOld
 from ..records.jobs import LiveRecord
 from ..states import JobState
 from ..wire.store import Event
@@ -22,6 +23,8 @@
         self.closing = closing
         #: the revision up to which changes are known
         self.watched = 0
+        #: when the last reading of all records was begun
+        self._read_at = -math.inf
 
     def take(self, value: object, version: int, now: float) -> None:
         record = msgspec.convert(value, LiveRecord)
@@ -41,15 +44,31 @@
 
     def watch(self) -> None:
         """Follows the live records: new jobs, and removals by whichever controller was asked to cancel."""
+        self._follow(self.leadership.knowledge.watch_ms)
+
+    def catch_up(self) -> None:
+        """A current read, before a leader that had lost its authority answers anybody again.
+
+        The watch may speak only later: one that came back after an outage started what had been cancelled a minute ago.
+        """
+        self._follow(0)
+
+    def _follow(self, wait_ms: int) -> None:
+        asked, since = self.clock(), self.watched
         try:
-            events = self.pen.state.changes("live/", self.watched, 5000)
+            events = self.pen.state.changes("live/", since, wait_ms)
         except TooOld:
             self._reread()
             return
+        if events.revision < since or any(e.version > events.revision for e in events.events):
+            raise StateError(f"revision {events.revision} after {since}: that cannot be", maybe=False)
         now = self.clock()
         for event in events.events:
-            self._take_event(event, now)
+            # two reads may be under way; what the later one has told is not to be undone by the earlier one
+            if event.version > self.watched:
+                self._take_event(event, now)
         self.watched = max(self.watched, events.revision)
+        self.leadership.caught_up(self.token, asked)
 
     def _take_event(self, event: Event, now: float) -> None:
         if event.put is not None:
@@ -64,11 +83,14 @@
         if job.state is JobState.CLOSING:
             return  # either this leader's own commit, or one that settles it by failing
         log.info("%s was cancelled", ident)
+        # it was live when all was last known, so nobody was told of this before
+        job.answers_until = self.leadership.knowledge.answers_until()
         self.dispatch.cancel(job, now)
         self.closing.drop_records(job)
 
     def read_all(self, now: float) -> set[str]:
         """Takes all live records; the watch goes on from the revision of the first page."""
+        asked = self.clock()
         seen: set[str] = set()
         first = 0
         for page in self.pen.state.scan("live/"):
@@ -77,11 +99,17 @@
                 seen.add(pair.key[5:])
                 self.take(pair.value, pair.version, now)
         self.watched = first
+        self._read_at = asked
         return seen
 
+    def begin(self) -> None:
+        """All that was read is in the books."""
+        self.leadership.caught_up(self.token, self._read_at)
+
     def _reread(self) -> None:
         now = self.clock()
         seen = self.read_all(now)
         gone = [i for i, j in self.ledger.jobs.items() if j.live and i not in seen and j.version <= self.watched]
         for ident in gone:
             self.removed(ident, now)
+        self.begin()
--- a/src/grebestand/leading/term.py
+++ b/src/grebestand/leading/term.py
@@ -112,6 +112,7 @@
         for m in self.fleet.machines:
             m.given_at = now
         self.checkins.heard_at = now
+        self.jobs.begin()
         self.loaded = True
         log.info(
             "term %d: %d machines and %d live jobs on record",
@@ -124,8 +125,9 @@
     def checkin(self, report: Report) -> Orders | None:
         """The answer to a report; None while this controller may not answer."""
         if not self.loaded:
-            # the token is shown while the records are read, and nothing is taken from what is told meanwhile
-            return Orders(self.token, []) if self.checkins.may_answer(report) else None
+            # an answer would renew the leases of what was cancelled, and could not stop it (`leading.knowledge`)
+            self.checkins.may_answer(report)
+            return None
         return self.checkins.take(report)
 
     def step_fleet(self) -> None:
--- a/src/grebestand/process/controller.py
+++ b/src/grebestand/process/controller.py
@@ -5,6 +5,7 @@
 import contextlib
 import logging
 import math
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
 
@@ -18,6 +19,7 @@
 from ..doors.users import UserDoor
 from ..doors.workers import WorkerDoor
 from ..features.hooks import Features
+from ..leading.knowledge import Knowledge, allowance_s
 from ..leading.leadership import KEY, Fenced, Leadership
 from ..leading.pen import Pen
 from ..leading.term import Term
@@ -31,10 +33,12 @@
 from ..reach.links import Link
 from ..reach.relay import MOST_RELAYED, RelayDoor, RelayedStore
 from ..records.finals import Finals
+from ..records.jobs import OverRecord
 from ..settings.expressions import Expressions
 from ..settings.platform import Settings
 from ..settings.policy import VARIABLES
 from ..states import LeaderState, LinkState, MachineState
+from ..wire.jobs import JobView
 from ..wire.peers import Hello, Resigned
 from .handover import Handover
 from .types import KnownTypes
@@ -45,6 +49,8 @@
 RENEW_S = 0.5
 #: a transaction may have so many times as many conditions as changes; one is left to spare
 CONDITIONS = 3
+#: cancellations are told to the others for so long, in seconds, so many at the most, and so long after the first
+TOLD_S, MOST_TOLD, TELL_S = 30.0, 500, 0.1
 #: all live jobs are looked over so often, in seconds
 SWEEP_S = 5.0
 
@@ -86,7 +92,9 @@
         names = {name: low for name, (low, _) in VARIABLES.items()}
         names["lease_s"] = p.workers.lease_s
         names["report_s"] = p.workers.report_s
-        self.leadership = Leadership(settings.name, self.state, self.clock, policy.value("hold_s", names))
+        knowledge = Knowledge(self.clock, allowance_s(p.workers))
+        knowledge.tell(p.workers)
+        self.leadership = Leadership(settings.name, self.state, self.clock, policy.value("hold_s", names), knowledge)
         self.leadership.on_move = self._moved
         self.value_bytes = int(p.state.value_kb * 1024) - 16
         self.finals = Finals()
@@ -109,6 +117,10 @@
         self.incarnation = self.rng.getrandbits(62)
         self.peers.ended = self.leadership.ended
         self.users.recall = self._recall
+        #: cancelled here lately, and when: told to the others, who may not hear of it otherwise
+        self.cancelled: OrderedDict[str, float] = OrderedDict()
+        self._telling = False
+        self.users.on_cancelled, self.peers.on_cancelled = self._cancelled, self._hear_cancelled
         self.term: Term | None = None
         self.users_busy = 0
         self.pressure = Load(p.quota, self.clock)
@@ -312,9 +324,15 @@
                 gevent.sleep(1.0)
 
     def _resume(self) -> None:
-        loaded = self.term is not None and self.term.loaded
-        new = LeaderState.LEADING if loaded else LeaderState.LOADING
-        self.leadership.move(new, "the hold outlived the silence")
+        """Back to authority. What was cancelled meanwhile is read before anything is answered."""
+        lead, term = self.leadership, self.term
+        if term is None or not term.loaded:
+            lead.move(LeaderState.LOADING, "the hold outlived the silence")
+            return
+        term.jobs.catch_up()
+        # the question took a while: a term may have ended meanwhile, or been asked about a higher token
+        if self.term is term and lead.state is LeaderState.PAUSED and not lead.challenged:
+            lead.move(LeaderState.LEADING, "the hold outlived the silence, and all cancellations are known")
 
     # others -----------------------------------------------------------------------------------------------
 
@@ -330,8 +348,37 @@
             self.workers_link.age_s if self.workers_link.ok_at > -math.inf else -1.0,
             term.gossip.samples(self.rng) if leads and term is not None else [],
             self.incarnation,
+            list(self.cancelled),
         )
 
+    def _cancelled(self, ident: str) -> None:
+        """A user is about to be told so: this term's books, and the others, hear of it at once."""
+        now = self.clock()
+        self.cancelled[ident] = now
+        while len(self.cancelled) > MOST_TOLD or now - next(iter(self.cancelled.values())) > TOLD_S:
+            self.cancelled.popitem(last=False)
+        self._stop_cancelled(ident)
+        if not self._telling:
+            self._telling = True
+            gevent.spawn_later(TELL_S, self._tell_cancelled)
+
+    def _tell_cancelled(self) -> None:
+        self._telling = False
+        for peer in self.peers.peers:
+            gevent.spawn(self.peers.greet, peer)
+
+    def _hear_cancelled(self, idents: list[str]) -> None:
+        """A help, and never more: what is cancelled stays so, however late this came, and nothing else follows."""
+        for ident in idents:
+            if self.finals.get(ident) is None:
+                self.finals.remember(ident, OverRecord(JobView.CANCELLED, 0))
+                self._stop_cancelled(ident)
+
+    def _stop_cancelled(self, ident: str) -> None:
+        term = self.term
+        if term is not None and term.loaded:
+            term.jobs.removed(ident, self.clock())
+
     def _resigned(self, gone: Resigned) -> None:
         gevent.spawn(self.handover.succeed, gone)
 
--- a/src/grebestand/reports/answers.py
+++ b/src/grebestand/reports/answers.py
@@ -64,6 +64,20 @@
                 break
         return out
 
+    def unwanted(self, r: Report) -> list[Command]:
+        """Stops of what a worker lists of jobs that are over; true whenever its report was written.
+
+        Whatever an earlier leader may have started was live when this one read the records, or is over.
+        """
+        out = []
+        for status in r.tasks:
+            if status.state is TaskReport.EXITED:
+                continue
+            job = self.ledger.jobs.get(status.task.rpartition("/")[0])
+            if job is None or job.state in (JobState.DONE, JobState.CANCELLED):
+                out.append(Command("stop", status.task, status.attempt, 0.0))
+        return out[:MOST_COMMANDS]
+
     @staticmethod
     def _gang_fetches(job: Job) -> bool:
         """Whether others of the gang still wait for the image, so that one more task would only wait for them."""
--- a/src/grebestand/standin/several.py
+++ b/src/grebestand/standin/several.py
@@ -36,6 +36,10 @@
 DELAY_S = (0.001, 0.006)
 #: what a slow link adds to each message, at most
 SLOW_S = 0.8
+#: what is carried out late, comes so long after it was sent, in seconds
+LATE_S = (2.0, 12.0)
+#: users wait for so long for an answer to a poll, and to anything else
+POLL_S, PATIENCE_S = 2.0, 5.0
 #: the machines stay as they are: none is rented, and none returned for being idle
 RULES = "rent = false\nidle_return_s = 1e6\n"
 
@@ -144,7 +148,9 @@
 
     def connect(self, address: str, field: str, connections: int, connect_s: float = 1.5) -> Transport:
         far = self.world.names[address]
-        return Wire(self.world.links, self.rng, self.name, far, lambda: None if self.gone else self.world.server(far))
+        return Wire(
+            self.world.links, self.rng, self.name, far, lambda: None if self.gone else self.world.server(self.name, far)
+        )
 
     def once(self, method: str, address: str, path: str, body: bytes, timeout: float) -> tuple[int, bytes]:
         machine = address.rpartition(":")[0]
@@ -154,6 +160,18 @@
         if self.name in seat.deaf_to:
             gevent.sleep(timeout)
             raise Unreachable("timeout")
+        if self.world.luck.random() < self.world.late_orders:
+            # it is held up, and carried out if it is still valid then; or its answer is
+            late = self.world.luck.uniform(*LATE_S)
+            if self.world.luck.random() < 0.5:
+                gevent.spawn_later(late, seat.answer, method, path, body)
+                gevent.sleep(timeout)
+                raise Unreachable("timeout")
+            status, answer = seat.answer(method, path, body)
+            gevent.sleep(min(late, timeout))
+            if late < timeout:
+                return status, answer
+            raise Unreachable("timeout")
         wire = Wire(self.world.links, self.rng, self.name, seat.zone, lambda: None if self.gone else seat.answer)
         return wire.request(method, path, body, timeout)
 
@@ -201,7 +219,10 @@
             self.answered_at = now
         for task in self.running():
             if now >= self.ends.get(task, now) and not self.hung:
-                self.finish(task, Why.ERROR if self.world.jobs[task.rpartition("/")[0]].broken else Why.DONE)
+                broken = self.world.jobs[task.rpartition("/")[0]].broken
+                self.finish(task, Why.ERROR if broken else Why.DONE)
+                if not broken:
+                    self.world.finished.add(task)
         self.world.saw(self)
 
     def restart(self, anew: bool) -> None:
@@ -291,6 +312,14 @@
     unanswered_s: float = 0.0
     #: it was submitted with a mistake, and fails wherever it is started
     broken: bool = False
+    gang: bool = False
+    #: when its user asks to cancel it, and when it was told that it is cancelled
+    cancel_at: float = math.inf
+    cancelled_at: float | None = None
+
+    @property
+    def over(self) -> bool:
+        return self.done_at is not None or self.cancelled_at is not None
 
 
 class Several:
@@ -302,6 +331,8 @@
         self.loop = loop
         self.seed = seed
         self.rng = random.Random(f"world {seed}")
+        #: draws troubles, so that a world without any plays as it would without them
+        self.luck = random.Random(f"luck {seed}")
         self.links = Links()
         self.controllers = [f"node-{i}" for i in range(controllers)]
         self.task_s = (3.0, 12.0)
@@ -315,7 +346,7 @@
         self.names |= {f"127.0.1.{i}:2": name for i, name in enumerate(self.controllers)}
         self.settings = {name: self._settings(i) for i, name in enumerate(self.controllers)}
         w = self.settings["node-0"].params.workers
-        self.lease_s, self.report_s = w.lease_s, w.report_s
+        self.lease_s, self.report_s, self.cancel_s = w.lease_s, w.report_s, w.cancel_s
         self.nodes: dict[str, Controller | None] = dict.fromkeys(self.controllers)
         self.hosts: dict[str, Host] = {}
         self.machines: dict[str, Seat] = {}
@@ -337,8 +368,18 @@
         self.calm_at = math.inf
         #: users ask so many times as often
         self.eager = 1.0
+        #: which part of the writes to the state service is carried out late and not answered; how late its other
+        #: answers are at most, in seconds; which part of the direct commands, or of their answers, is held up
+        self.late_writes = self.slow_s = self.late_orders = 0.0
+        #: which part of a crowd's jobs is cancelled by its users
+        self.cancelling = 0.0
+        #: tasks that were completed somewhere
+        self.finished: set[str] = set()
+        #: tasks on machines, or started, too long after their users were told that they are cancelled
+        self.late: list[str] = []
         self._tasks: dict[str, str] = {}
         self._on: dict[str, set[str]] = {}
+        self._late: set[str] = set()
         for name in self.controllers:
             self.start(name)
         for i in range(machines):
@@ -395,9 +436,9 @@
         if node is not None:
             self.hosts[name].gone = True
 
-    def server(self, far: str) -> Handler | None:
+    def server(self, near: str, far: str) -> Handler | None:
         if far == STATE:
-            return self._store
+            return lambda m, p, b: self._store(near, m, p, b)
         if far == CLOUD:
             return lambda m, p, b: self.cloud.request(m, p, b, 1.0)
         node, host = self.nodes[far], self.hosts[far]
@@ -409,18 +450,30 @@
         answer = node.peers.answer(path, body)
         return (404, b"") if answer is None else (200, answer)
 
-    def _store(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+    def _store(self, near: str, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+        if method != "GET" and self.luck.random() < self.late_writes:
+            # nobody is answered, and it is carried out after what the same controller sends next
+            gevent.spawn_later(self.luck.uniform(*LATE_S), self.state.request, method, path, body, 1.0)
+            gevent.sleep(1e6)
         status, answer = self.state.request(method, path, body, 1.0)
         if path.startswith("/changes") and status == 200:
-            wait = float(path.partition("&waitMs=")[2] or 0) / 1000
-            end = self.loop.time + wait
-            while self.loop.time < end and not json.loads(answer)["events"]:
-                gevent.sleep(0.1)
-                status, answer = self.state.request(method, path, body, 1.0)
-                if status != 200:
-                    status, answer = 200, b'{"logline":0,"events":[]}'  # an open watch waits in an outage
+            answer = self._follow(near, path, answer)
+        elif self.slow_s:
+            gevent.sleep(self.luck.uniform(0.0, self.slow_s))
         return status, answer
 
+    def _follow(self, near: str, path: str, answer: bytes) -> bytes:
+        """An open watch. In an outage, and while its controller alone is refused, it waits and says nothing."""
+        end = self.loop.time + float(path.partition("&waitMs=")[2] or 0) / 1000
+        while self.loop.time < end and not json.loads(answer)["events"]:
+            gevent.sleep(0.1)
+            if self.links.way(near, STATE) is Way.REFUSED:
+                continue
+            status, news = self.state.request("GET", path, b"", 1.0)
+            if status == 200:
+                answer = news
+        return answer
+
     def door(self, name: str) -> Handler | None:
         node, host = self.nodes[name], self.hosts[name]
 
@@ -478,6 +531,11 @@
             if self._tasks.get(task, seat.name) != seat.name:
                 self.twice.append(f"{self.loop.time:.2f} {task} on {self._tasks[task]} and {seat.name}")
             self._tasks[task] = seat.name
+        for task in now:
+            told = self.jobs[task.rpartition("/")[0]].cancelled_at
+            if told is not None and self.loop.time - told > self.cancel_s and task not in self._late:
+                self._late.add(task)
+                self.late.append(f"{self.loop.time:.2f} {task} on {seat.name}, cancelled at {told:.2f}")
         if now - before:
             use: dict[str, float] = {}
             for task in self._tasks:
@@ -494,7 +552,8 @@
         """A user who submits a job, and asks about it for ever; `broken` has a mistake in it."""
         ref = f"j-{len(self.jobs) + 1:06d}"
         broken = bool(more.pop("broken", False))
-        self.jobs[ref] = Asked(team, tasks, cpus, self.loop.time, broken=broken)
+        gang = more.get("shape") == "ensemble"
+        self.jobs[ref] = Asked(team, tasks, cpus, self.loop.time, broken=broken, gang=gang)
         spec = {
             "ref": ref, "lane": "work", "crew": team, "shape": "array", "rank": "standard", "shards": tasks,
             "cpus": cpus, "cards": 0.0, "ramGb": 1.0, "cargo": "img", "pullGb": 0.1, "hulls": None, "quay": None,
@@ -512,20 +571,32 @@
             if node is None or self.loop.frozen.get(self.hosts[at], 0.0) > self.loop.time:
                 gevent.sleep(1.0)
                 continue
-            if job.accepted_at is None:
+            asked = self.loop.time
+            again = self.luck.random() < 0.1
+            if job.accepted_at is None or (again and not job.over):
                 answer = node.users.submit(body)
-                if answer.status in (200, 201):
-                    job.accepted_at = job.answered_at = self.loop.time
+                if self.loop.time - asked < PATIENCE_S:
+                    if answer.status in (200, 201):
+                        if job.accepted_at is None:
+                            job.accepted_at = job.answered_at = self.loop.time
+                        self._told(ref, job, 200, answer.body, asked)
+                    elif job.accepted_at is not None and answer.status in (400, 404, 422):
+                        self.wrong.append(f"{self.loop.time:.2f} {ref} accepted and then answered {answer.status}")
+                gevent.sleep(1.0)
+                continue
+            if asked >= job.cancel_at and not job.over:
+                answer = node.users.cancel(ref)
+                if self.loop.time - asked < PATIENCE_S:
+                    self._told(ref, job, answer.status, answer.body, asked)
                 gevent.sleep(1.0)
                 continue
-            asked = self.loop.time
             answer = node.users.poll(ref)
-            now = self.loop.time
-            if now - asked < 2.0:  # nobody waits for longer
-                self._told(ref, job, answer.status, answer.body, now)
-            gevent.sleep((2.0 if job.done_at is None else 6.0) / self.eager)
+            if self.loop.time - asked < POLL_S:
+                self._told(ref, job, answer.status, answer.body, asked)
+            gevent.sleep((2.0 if not job.over else 6.0) / self.eager)
 
-    def _told(self, ref: str, job: Asked, status: int, body: bytes, now: float) -> None:
+    def _told(self, ref: str, job: Asked, status: int, body: bytes, asked: float) -> None:
+        now = self.loop.time
         if status == 404:
             self.wrong.append(f"{now:.2f} {ref} accepted and then unknown")
         if status != 200:
@@ -533,12 +604,19 @@
         job.unanswered_s = max(job.unanswered_s, now - max(job.answered_at, self.calm_at))
         job.answered_at = now
         tide = json.loads(body)["tide"]
-        if tide == "done" and job.done_at is None:
-            job.done_at = now
-        elif tide != "done" and job.done_at is not None:
+        if job.done_at is not None and tide != "done":
             self.wrong.append(f"{now:.2f} {ref} was done and is {tide}")
-        elif tide == "cancelled":
-            self.wrong.append(f"{now:.2f} {ref} is cancelled, and nobody asked for that")
+        elif job.cancelled_at is not None and tide != "cancelled":
+            self.wrong.append(f"{now:.2f} {ref} was cancelled and is {tide}")
+        elif tide == "done" and job.done_at is None:
+            job.done_at = now
+            undone = [i for i in range(job.tasks) if f"{ref}/{i}" not in self.finished]
+            if undone and not job.gang:
+                self.wrong.append(f"{now:.2f} {ref} is called done, and tasks {undone[:5]} are not")
+        elif tide == "cancelled" and job.cancelled_at is None:
+            job.cancelled_at = now
+            if asked < job.cancel_at:
+                self.wrong.append(f"{now:.2f} {ref} is cancelled, and nobody asked for that")
 
     def longest_unanswered(self) -> tuple[float, str]:
         """The job that was left without an answer for the longest since all troubles were over, and for how long."""
@@ -555,7 +633,12 @@
 
         def go() -> None:
             while self.loop.time < until_s:
-                self.submit(self.rng.choice(["red", "blue"]), self.rng.randint(1, 12), self.rng.choice([1.0, 2.0]))
+                ref = self.submit(
+                    self.rng.choice(["red", "blue"]), self.rng.randint(1, 12), self.rng.choice([1.0, 2.0])
+                )
+                if self.luck.random() < self.cancelling:
+                    # queued, starting or running, by then
+                    self.jobs[ref].cancel_at = self.loop.time + self.luck.uniform(0.0, 40.0)
                 gevent.sleep(every_s)
 
         gevent.spawn(go)
@@ -572,6 +655,7 @@
         return [
             *(f"twice: {t}" for t in self.twice),
             *(f"limit: {t}" for t in self.over),
+            *(f"ran cancelled: {t}" for t in self.late),
             *self.wrong,
             *(f"two leaders at {t:.1f}" for t in self.both),
         ]
--- a/src/grebestand/standin/store.py
+++ b/src/grebestand/standin/store.py
@@ -23,8 +23,7 @@
         self.data: dict[str, tuple[Any, int, int | None]] = {}
         self.log: list[dict[str, Any]] = []
         self.holds: dict[int, tuple[float, float]] = {}
-        #: nobody is answered
-        self.down = False
+        self._down = False
         #: requests a second, with one second's worth as a burst; more are answered 429
         self.rps = math.inf
         self._left, self._left_at = 0.0, -math.inf
@@ -32,6 +31,21 @@
         self.largest_txn = 0
         self.largest_value = 0
 
+    @property
+    def down(self) -> bool:
+        """Nobody is answered. Holds do not end meanwhile, and have their full time again once it is over."""
+        return self._down
+
+    @down.setter
+    def down(self, down: bool) -> None:
+        if down == self._down:
+            return
+        if down:
+            self.expire()
+        else:
+            self.holds = {hold: (life, self.clock() + life) for hold, (life, _) in self.holds.items()}
+        self._down = down
+
     def request(self, method: str, path: str, body: bytes, timeout: float) -> tuple[int, bytes]:
         if self.down:
             return 503, b"{}"
--- a/src/grebestand/wire/peers.py
+++ b/src/grebestand/wire/peers.py
@@ -5,8 +5,14 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
+from .jobs import JOB_ID
+
+JobName = Annotated[str, msgspec.Meta(pattern=f"^{JOB_ID.pattern}")]
+
 
 class Hello(msgspec.Struct):
     """Sent about once a second both ways."""
@@ -23,6 +29,8 @@
     samples: list[str] = []
     #: drawn anew at each start: what an earlier process of the same name said is over
     incarnation: int = 0
+    #: jobs that users were told lately, by the sender, are cancelled; true for ever, however late this comes
+    cancelled: list[JobName] = []
 
 
 class Resigned(msgspec.Struct):
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -48,6 +48,12 @@
 #: jobs submitted with a mistake, and users who ask many times as often
 mistakes = st.tuples(st.just("mistake"), st.integers(1, 12))
 storms = st.tuples(st.just("storm"), st.floats(4.0, 20.0), st.floats(3.0, 15.0))
+#: writes that nobody is answered, carried out after newer ones; slow answers; commands, or their answers, held up
+late_writes = st.tuples(st.just("late writes"), st.floats(0.05, 0.6), st.floats(5.0, 40.0))
+slowness = st.tuples(st.just("slow"), st.floats(0.2, 3.0), st.floats(5.0, 40.0))
+late_orders = st.tuples(st.just("late orders"), st.floats(0.2, 1.0), st.floats(5.0, 40.0))
+#: the state service refuses whoever leads, and then, so long after, is down for all, for longer than `cancel_s` or less
+gaps = st.tuples(st.just("gap"), st.floats(0.2, 15.0), st.floats(10.0, 80.0), st.sampled_from((Way.REFUSED, Way.HELD)))
 troubles = (
     mistakes
     | storms
@@ -62,6 +68,10 @@
     | copies
     | freezes
     | alone
+    | late_writes
+    | slowness
+    | late_orders
+    | gaps
 )
 schedules = st.lists(st.tuples(st.floats(0.5, 12.0), troubles), min_size=3, max_size=9)
 #: a job about which no question is answered for so long counts as forgotten
@@ -119,6 +129,21 @@
         case ("storm", float(factor), float(seconds)):
             world.eager = factor
             gevent.spawn_later(seconds, setattr, world, "eager", 1.0)
+        case ("late writes", float(part), float(seconds)):
+            world.late_writes = part
+            gevent.spawn_later(seconds, setattr, world, "late_writes", 0.0)
+        case ("slow", float(most), float(seconds)):
+            world.slow_s = most
+            gevent.spawn_later(seconds, setattr, world, "slow_s", 0.0)
+        case ("late orders", float(part), float(seconds)):
+            world.late_orders = part
+            gevent.spawn_later(seconds, setattr, world, "late_orders", 0.0)
+        case ("gap", float(gap), float(outage), Way() as way):
+            for name in world.leading():
+                world.links.set(name, STATE, way)
+                gevent.spawn_later(gap + 10.0, world.links.set, name, STATE, Way.OPEN)
+            gevent.spawn_later(gap, setattr, world.state, "down", True)
+            gevent.spawn_later(gap + outage, setattr, world.state, "down", False)
         case ("alone", str(name), Way() as way):
             for far in (STATE, *(n for n in NODES if n != name)):
                 world.links.set(name, far, way)
@@ -131,6 +156,7 @@
     with simulated() as loop:
         world = Several(loop, seed=seed, machines=12)
         world.task_s = (3.0, longest_s)
+        world.cancelling = 0.3
         world.crowd(4.0, 30.0 + sum(pause for pause, _ in schedule))
         gevent.sleep(8)
         for pause, event in schedule:
@@ -140,6 +166,7 @@
         world.links.heal()
         world.state.down = False
         world.copies, world.eager = 0.0, 1.0
+        world.late_writes = world.slow_s = world.late_orders = 0.0
         world.loop.frozen.clear()
         for name in NODES:
             back(world, name)
@@ -149,9 +176,7 @@
         lost: list[str] = []
         for _ in range(40):  # a team at its limit has its work done late, and all of it
             gevent.sleep(10)
-            lost = [
-                ref for ref, j in world.jobs.items() if j.accepted_at is not None and j.done_at is None and not j.broken
-            ]
+            lost = [ref for ref, j in world.jobs.items() if j.accepted_at is not None and not j.over and not j.broken]
             if not lost and loop.time > world.calm_at + FORGOTTEN_S:
                 break
         waited, ref = world.longest_unanswered()
