--- a/src/grebestand/leading/leadership.py
+++ b/src/grebestand/leading/leadership.py
@@ -142,6 +142,9 @@
                 return
             # its own name: whoever wrote it was an earlier run or term of this controller, and that has ended
         if self.state is not LeaderState.FOLLOWING:
+            if found is not None:
+                # a campaign that was given up on was carried out late: the key would stay until its hold has ended
+                self.clear_key(found.version)
             return
         self.leader = None
         if self.free_since is not None and now - self.free_since < self.patience():
--- a/src/grebestand/leading/rentals.py
+++ b/src/grebestand/leading/rentals.py
@@ -12,7 +12,7 @@
 from ..limits.budget import Urgency
 from ..measures.sketches import Sketches
 from ..outside.cloud import CloudClient, NoCapacity
-from ..outside.state import delete, put
+from ..outside.state import StateError, absent, delete, put
 from ..records.leader import RentRecord
 from ..wire.cloud import RentRequest
 from .basis import Basis, Part
@@ -137,8 +137,9 @@
                     shortage.spot,
                     min(lack, max(FEWEST_RENTED, min(MOST_RENTED, lack // len(per_zone)))),
                 )
-                self._rent_under(f"r-{self.token}-{self.rents}", record)
+                # a name is never tried again with another record: the first try may be carried out late
                 self.rents += 1
+                self._rent_under(f"r-{self.token}-{self.rents}", record)
                 requests += 1
 
     def _rent_under(self, name: str, record: RentRecord) -> None:
@@ -151,7 +152,10 @@
         )
         if name not in self.old_rents:
             # one change for up to fifty machines: behind grants and progress, rentals of a burst once came 40 s late
-            self.pen.commit([], [put(key, msgspec.to_builtins(record))], Urgency.TAKEOVER)
+            # a new name, so that this fails only if a reader may have it already
+            _, failed = self.pen.commit([absent(key)], [put(key, msgspec.to_builtins(record))], Urgency.TAKEOVER)
+            if failed:
+                raise StateError(f"{name} is on record already", maybe=False)
             self.old_rents[name] = record
         self.leadership.guard()
         now = self.clock()
--- a/src/grebestand/reports/reading.py
+++ b/src/grebestand/reports/reading.py
@@ -179,7 +179,7 @@
     def _strangers(m: Machine, r: Report) -> bool:
         """Whether something runs there that is in no books: of a job that is over, or a second copy.
 
-        It was cancelled while nobody led, or done elsewhere, and is told to stop; whose it was is on no record any more.
+        It was cancelled while nobody led, or done elsewhere, and is told to stop; whose it was is on no record.
         Until it is gone, the machine counts in full against every team like one that has not been heard. Taken for
         proved with such tasks on it, others of their team were started, and it was over its limit.
         """
