Stops go first in an answer, before what is forgotten and started

Cause: an answer renews the lease of what it does not stop; behind 300 results to forget a stop would have waited for the next one. Change: stops, then forgets, then starts; forgets still precede starts, since a task that has exited there may start again.

--- a/src/grebestand/reports/answers.py
+++ b/src/grebestand/reports/answers.py
@@ -22,6 +22,7 @@
     def commands(self, m: Machine, r: Report, now: float) -> list[Command]:
         """What the worker is told. Starts ride on check-in responses only, and only to recorded machines."""
         out: list[Command] = []
+        forgets: list[Command] = []
         for status in r.tasks:
             known = m.places.get(status.task)
             there = known is not None and known.attempt == status.attempt
@@ -35,18 +36,20 @@
                 # over, unknown, or a second copy: it must not stay
                 out.append(Command("stop", status.task, status.attempt, 0.0))
             elif self._may_forget(self.ledger.jobs.get(ident), index, status):
-                out.append(Command("forget", status.task, status.attempt))
-            if len(out) >= MOST_COMMANDS:
-                return out
-        starts = m.state is MachineState.READY and m.recorded
-        for place in m.places.values():
+                forgets.append(Command("forget", status.task, status.attempt))
+        for place in m.places.values() if m.leaving else ():
             if place.stop is not None:
                 # a repeat with the same grace changes nothing; only a grace of 0 cuts a save short
                 out.append(Command("stop", place.name, place.attempt, place.grace))
                 place.stop_sent_at = now
-            elif not starts:
+        # stops first, as this answer renews the lease of what they are for; what is forgotten may start again
+        out = (out + forgets)[:MOST_COMMANDS]
+        for place in m.places.values() if m.state is MachineState.READY and m.recorded else ():
+            if len(out) >= MOST_COMMANDS:
+                break
+            if place.stop is not None:
                 continue
-            elif place.state is PlaceState.QUEUED or (place.state is PlaceState.SENT and place.sent_seq < 0):
+            if place.state is PlaceState.QUEUED or (place.state is PlaceState.SENT and place.sent_seq < 0):
                 if not place.job.covers(place):
                     continue  # a later leader would not know where to look for it
                 if place.held and self._gang_fetches(place.job):
@@ -60,8 +63,6 @@
                 if job.stages is not None:
                     job.stages.sent = now
                 out.append(Command("start", place.name, place.attempt))
-            if len(out) >= MOST_COMMANDS:
-                break
         return out
 
     def unwanted(self, r: Report) -> list[Command]:
