--- a/src/grebestand/process/controller.py
+++ b/src/grebestand/process/controller.py
@@ -348,24 +348,33 @@
             self.workers_link.age_s if self.workers_link.ok_at > -math.inf else -1.0,
             term.gossip.samples(self.rng) if leads and term is not None else [],
             self.incarnation,
-            list(self.cancelled),
+            self._told_lately(),
         )
 
-    def _cancelled(self, ident: str) -> None:
-        """A user is about to be told so: this term's books, and the others, hear of it at once."""
+    def _told_lately(self) -> list[str]:
         now = self.clock()
-        self.cancelled[ident] = now
-        while len(self.cancelled) > MOST_TOLD or now - next(iter(self.cancelled.values())) > TOLD_S:
+        while self.cancelled and (
+            len(self.cancelled) > MOST_TOLD or now - next(iter(self.cancelled.values())) > TOLD_S
+        ):
             self.cancelled.popitem(last=False)
+        return list(self.cancelled)
+
+    def _cancelled(self, ident: str) -> None:
+        """A user is about to be told so: this term's books, and the others, hear of it at once."""
+        self.cancelled[ident] = self.clock()
         self._stop_cancelled(ident)
         if not self._telling:
             self._telling = True
             gevent.spawn_later(TELL_S, self._tell_cancelled)
 
     def _tell_cancelled(self) -> None:
+        """One greeting to each at a time: those that hang would take up the connections."""
+        said = len(self.cancelled), next(reversed(self.cancelled), "")
+        gevent.joinall([gevent.spawn(self.peers.greet, peer) for peer in self.peers.peers])
         self._telling = False
-        for peer in self.peers.peers:
-            gevent.spawn(self.peers.greet, peer)
+        if said != (len(self.cancelled), next(reversed(self.cancelled), "")):
+            self._telling = True
+            gevent.spawn_later(TELL_S, self._tell_cancelled)
 
     def _hear_cancelled(self, idents: list[str]) -> None:
         """A help, and never more: what is cancelled stays so, however late this came, and nothing else follows."""
