--- a/src/grebestand/standin/several.py
+++ b/src/grebestand/standin/several.py
@@ -38,6 +38,8 @@
 SLOW_S = 0.8
 #: what is carried out late, comes so long after it was sent, in seconds
 LATE_S = (2.0, 12.0)
+#: a job about which no question is answered for so long, in seconds, counts as forgotten
+FORGOTTEN_S = 75.0
 #: users wait for so long for an answer to a poll, and to anything else
 POLL_S, PATIENCE_S = 2.0, 5.0
 #: the machines stay as they are: none is rented, and none returned for being idle
@@ -650,6 +652,22 @@
 
     # what came of it --------------------------------------------------------------------------------------
 
+    def settled(self, most_s: float) -> list[str]:
+        """All troubles are over: lets everybody go on until all is done, or for so long, and says what is wrong.
+
+        Rules that were broken; jobs that were accepted, not cancelled, and not done; a job that was left without an
+        answer for `FORGOTTEN_S`, for which it plays on in any case.
+        """
+        self.calm_at = self.loop.time
+        left = ["all"]
+        while self.loop.time < self.calm_at + most_s and (left or self.loop.time < self.calm_at + FORGOTTEN_S + 5.0):
+            gevent.sleep(10)
+            left = [ref for ref, j in self.jobs.items() if j.accepted_at is not None and not j.over and not j.broken]
+        waited, ref = self.longest_unanswered()
+        if waited > FORGOTTEN_S:
+            left.append(f"{ref} unanswered for {waited:.1f} s")
+        return self.broken() + left
+
     def broken(self) -> list[str]:
         """Rules that were broken, as workers and users saw it."""
         return [
--- a/tests/test_each_meeting.py
+++ b/tests/test_each_meeting.py
@@ -41,17 +41,6 @@
     return world
 
 
-def ends_well(world: Several, most_s: float = 500.0) -> None:
-    world.calm_at = world.loop.time
-    left = ["all"]
-    while world.loop.time < world.calm_at + most_s and (left or world.loop.time < world.calm_at + 80.0):
-        gevent.sleep(10)
-        left = [r for r, j in world.jobs.items() if j.accepted_at is not None and not j.over]
-    assert world.broken() == []
-    assert left == []
-    assert world.longest_unanswered()[0] < 75.0
-
-
 def cancel_all(world: Several, every: int = 2) -> None:
     for i, job in enumerate(world.jobs.values()):
         if i % every == 0 and not job.over:
@@ -82,7 +71,7 @@
                 gevent.spawn_later(0.2 if change == "back at once" else 6.0, back, world, name)
         gevent.sleep(17)
     world.late_writes = 0.0
-    ends_well(world)
+    assert world.settled(500.0) == []
 
 
 def test_a_result_is_not_forgotten_before_it_is_durable() -> None:
@@ -149,7 +138,7 @@
     gevent.sleep(15)
     world.links.heal()
     world.slow_s = 0.0
-    ends_well(world, 900.0)
+    assert world.settled(900.0) == []
     assert {status for _, _, status in seen} <= {200, 201, 503}
     assert max(s for what, s, _ in seen if what == "poll") < 4.0
     assert max(s for what, s, _ in seen if what != "poll") < 5.0
@@ -181,7 +170,7 @@
     for seat in away:
         seat.deaf_to, seat.hung = frozenset(), False
     back(world, first)
-    ends_well(world)
+    assert world.settled(500.0) == []
 
 
 # 4. a leader alone with its workers and users ---------------------------------------------------------------
@@ -200,7 +189,7 @@
     world.links.heal()
     gevent.sleep(5)
     assert len(world.leaders) <= 3  # its return is quiet
-    ends_well(world)
+    assert world.settled(500.0) == []
 
 
 # 5. and 6. commands held up, machines that go on, reports out of their order --------------------------------
@@ -224,7 +213,7 @@
             seat.hung = False
     world.late_orders = world.copies = 0.0
     gevent.sleep(60)
-    ends_well(world)
+    assert world.settled(500.0) == []
 
 
 def test_old_reports_come_after_newer_ones_across_restarts_and_takeovers(loop: VirtualLoop) -> None:
@@ -239,7 +228,7 @@
         gevent.sleep(10)
     world.copies = 0.0
     gevent.sleep(60)
-    ends_well(world)
+    assert world.settled(500.0) == []
 
 
 # 7. transactions carried out late, after newer ones ---------------------------------------------------------
@@ -320,7 +309,7 @@
     cancel_all(world)
     gevent.sleep(50)
     world.late_writes = 0.0
-    ends_well(world)
+    assert world.settled(500.0) == []
 
 
 # 8. hand-over and back, all end, one returns ----------------------------------------------------------------
@@ -339,7 +328,7 @@
         back(world, name)
     tokens = [token for _, _, token in world.leaders]
     assert tokens == sorted(set(tokens))
-    ends_well(world)
+    assert world.settled(500.0) == []
 
 
 def test_hand_over_to_an_heir_that_dies_and_back(loop: VirtualLoop) -> None:
@@ -360,7 +349,7 @@
     gevent.sleep(10)
     back(world, heir)
     assert world.longest_pause(20.0, 25.0) <= 5.0 and not world.both
-    ends_well(world)
+    assert world.settled(500.0) == []
 
 
 def test_authority_that_outlasts_the_hold_is_found(loop: VirtualLoop, monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_gaps.py
+++ b/tests/test_gaps.py
@@ -58,19 +58,6 @@
     world.state.down = False
 
 
-def ends_well(world: Several, most_s: float = 400.0) -> None:
-    """No rule was broken, every job is over in the end, and none was forgotten."""
-    world.calm_at = world.loop.time
-    left = ["all"]
-    while world.loop.time < world.calm_at + most_s and (left or world.loop.time < world.calm_at + 80.0):
-        gevent.sleep(10)
-        left = [r for r, j in world.jobs.items() if j.accepted_at is not None and not j.over]
-    assert world.broken() == []
-    assert left == []
-    waited, ref = world.longest_unanswered()
-    assert waited < 75.0, ref
-
-
 @pytest.mark.parametrize("way", [Way.REFUSED, Way.HELD])
 @pytest.mark.parametrize(
     ("relay", "gap_s", "outage_s"),
@@ -87,7 +74,7 @@
     gap(world, way, gap_s, outage_s)
     world.links.heal()
     assert [j for j in world.jobs.values() if j.cancelled_at is not None]
-    ends_well(world)
+    assert world.settled(400.0) == []
 
 
 def test_twice_in_a_row(loop: VirtualLoop) -> None:
@@ -95,7 +82,7 @@
     gap(world, Way.REFUSED, 2.0, 63.0)
     gevent.sleep(21)
     gap(world, Way.REFUSED, 1.5, 63.0)
-    ends_well(world)
+    assert world.settled(400.0) == []
 
 
 # breaks made on purpose, which the stories find ------------------------------------------------------------
@@ -208,7 +195,7 @@
     world.links.heal()
     for seat in world.machines.values():
         seat.hung, seat.deaf_to = False, frozenset()
-    ends_well(world)
+    assert world.settled(400.0) == []
 
 
 def inside(world: Several, first: str, what: str) -> None:
@@ -235,7 +222,7 @@
     gevent.sleep(12)
     gap(world, Way.HELD, 3.0, 70.0)
     world.links.heal()
-    ends_well(world, 500.0 if shape == "array" else 900.0)
+    assert world.settled(500.0 if shape == "array" else 900.0) == []
 
 
 def test_late_writes_and_slow_answers_around_a_gap(loop: VirtualLoop) -> None:
@@ -245,7 +232,7 @@
     gevent.sleep(10)
     world.late_writes = world.slow_s = 0.0
     world.links.heal()
-    ends_well(world)
+    assert world.settled(400.0) == []
 
 
 # the rule alone --------------------------------------------------------------------------------------------
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -22,7 +22,6 @@
 from grebestand.wire.workers import TaskReport, TaskStatus
 
 MACHINES = 12
-FORGOTTEN_S = 75.0
 
 
 def leader(world: Several) -> str:
@@ -202,15 +201,7 @@
         order[1](world, rng)
         gevent.sleep(rng.uniform(20.0, 90.0))
         heal(world)
-        world.calm_at = loop.time
-        lost: list[str] = ["all"]
-        while loop.time < world.calm_at + 900.0 and (lost or loop.time < world.calm_at + FORGOTTEN_S + 5.0):
-            gevent.sleep(10)
-            lost = [r for r, j in world.jobs.items() if j.accepted_at is not None and not j.over]
-        waited, ref = world.longest_unanswered()
-        if waited > FORGOTTEN_S:
-            lost.append(f"{ref} unanswered for {waited:.1f} s")
-        return world.broken() + lost
+        return world.settled(900.0)
 
 
 def plays() -> list[tuple[int, int, int]]:
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -74,8 +74,6 @@
     | gaps
 )
 schedules = st.lists(st.tuples(st.floats(0.5, 12.0), troubles), min_size=3, max_size=9)
-#: a job about which no question is answered for so long counts as forgotten
-FORGOTTEN_S = 75.0
 #: the same in every run, and without a bound on how long one may take
 SEARCH = settings(
     derandomize="SCHEDULE_SEED" not in os.environ,
@@ -172,17 +170,10 @@
             back(world, name)
         for seat in world.machines.values():
             seat.hung, seat.deaf_to = False, frozenset()
-        world.calm_at = loop.time
-        lost: list[str] = []
-        for _ in range(40):  # a team at its limit has its work done late, and all of it
-            gevent.sleep(10)
-            lost = [ref for ref, j in world.jobs.items() if j.accepted_at is not None and not j.over and not j.broken]
-            if not lost and loop.time > world.calm_at + FORGOTTEN_S:
-                break
-        waited, ref = world.longest_unanswered()
-        if waited > FORGOTTEN_S:
-            lost.append(f"{ref} unanswered for {waited:.1f} s")
-        return world.broken(), lost
+        # a team at its limit has its work done late, and all of it
+        wrong = world.settled(400.0)
+        broken = world.broken()
+        return broken, wrong[len(broken) :]
 
 
 @seed(int(os.environ.get("SCHEDULE_SEED", "0")))
