--- a/src/grebestand/standin/several.py
+++ b/src/grebestand/standin/several.py
@@ -315,6 +315,9 @@
     #: it was submitted with a mistake, and fails wherever it is started
     broken: bool = False
     gang: bool = False
+    #: all its tasks have to be in one zone; at most half of them, rounded up, may be
+    same_place: bool = False
+    scatter: bool = False
     #: when its user asks to cancel it, and when it was told that it is cancelled
     cancel_at: float = math.inf
     cancelled_at: float | None = None
@@ -538,6 +541,8 @@
             if told is not None and self.loop.time - told > self.cancel_s and task not in self._late:
                 self._late.add(task)
                 self.late.append(f"{self.loop.time:.2f} {task} on {seat.name}, cancelled at {told:.2f}")
+        for task in now - before:
+            self._placed(task, seat)
         if now - before:
             use: dict[str, float] = {}
             for task in self._tasks:
@@ -546,6 +551,18 @@
             limits = {t.name: t.cpus_max for t in self.settings["node-0"].params.teams}
             self.over += [f"{self.loop.time:.2f} {t} uses {u}" for t, u in use.items() if u > limits[t] + 1e-6]
 
+    def _placed(self, task: str, seat: Seat) -> None:
+        """A task has begun: whether its zone is right, given the others of its job at that moment."""
+        ref = task.rpartition("/")[0]
+        job = self.jobs[ref]
+        if not (job.same_place or job.scatter):
+            return
+        zones = [self.machines[m].zone for t, m in self._tasks.items() if t != task and t.rpartition("/")[0] == ref]
+        if job.same_place and any(z != seat.zone for z in zones):
+            self.wrong.append(f"{self.loop.time:.2f} {task} in zone {seat.zone}, others of its job are not")
+        if job.scatter and zones.count(seat.zone) + 1 > -(-job.tasks // 2):
+            self.wrong.append(f"{self.loop.time:.2f} {task} is one too many in zone {seat.zone}")
+
     # users ------------------------------------------------------------------------------------------------
 
     def submit(
@@ -555,7 +572,10 @@
         ref = f"j-{len(self.jobs) + 1:06d}"
         broken = bool(more.pop("broken", False))
         gang = more.get("shape") == "ensemble"
-        self.jobs[ref] = Asked(team, tasks, cpus, self.loop.time, broken=broken, gang=gang)
+        bound = bool(more.get("samePlace")), bool(more.get("scatter"))
+        self.jobs[ref] = Asked(
+            team, tasks, cpus, self.loop.time, broken=broken, gang=gang, same_place=bound[0], scatter=bound[1]
+        )
         spec = {
             "ref": ref, "lane": "work", "crew": team, "shape": "array", "rank": "standard", "shards": tasks,
             "cpus": cpus, "cards": 0.0, "ramGb": 1.0, "cargo": "img", "pullGb": 0.1, "hulls": None, "quay": None,
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -10,10 +10,12 @@
 import os
 import random
 from collections.abc import Callable
+from typing import Any
 
 import gevent
 import pytest
 
+from grebestand.decisions.placing import Placing
 from grebestand.leading.term import Term
 from grebestand.reports.reading import Reader
 from grebestand.standin.memory import Node, World
@@ -22,6 +24,8 @@
 from grebestand.wire.workers import TaskReport, TaskStatus
 
 MACHINES = 12
+#: plays with a higher seed also have jobs that are bound to one zone, or spread over both
+BOUND_ABOVE = 8
 
 
 def leader(world: Several) -> str:
@@ -193,6 +197,11 @@
         world.crowd(rng.uniform(2.0, 5.0), 45.0)
         for _ in range(4):
             world.submit("blue", rng.randint(2, 3), 2.0, shape="ensemble")
+        if seed > BOUND_ABOVE:
+            for i in range(8):
+                bound: dict[str, Any] = {"samePlace": True} if i % 2 else {"scatter": True}
+                shape = "ensemble" if i % 4 == 3 else "array"
+                world.submit(rng.choice(["red", "blue"]), rng.randint(3, 8), 1.0, shape=shape, **bound)
         gevent.sleep(rng.uniform(12.0, 30.0))
         order = [KINDS[first], KINDS[second]]
         rng.shuffle(order)
@@ -259,3 +268,10 @@
     monkeypatch.setattr(Reader, "_strangers", staticmethod(lambda m, r: False))
     _, term = cancelled_while_nobody_led()
     assert [len(j.places) for j in term.ledger.jobs.values()] == [4]
+
+
+def test_zones_that_are_not_looked_at_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Broken on purpose: where the other tasks of a job are."""
+    assert met(0, 11, 9) == []
+    monkeypatch.setattr(Placing, "_zone_counts", lambda self, job: {})
+    assert any("zone" in text for text in met(0, 11, 9))
