A later session than could have begun since the last answer is asked about

Change: within a lease of the last answer a later session is believed only from an answer to a question, or once the lease is over. A cancelled job whose last task ended by a lease stayed in memory; it is dropped where its place is released. Ruled out: remembering every count that a machine may have had (the session was never heard of).

--- a/src/grebestand/books/fleet.py
+++ b/src/grebestand/books/fleet.py
@@ -180,6 +180,7 @@
         if not m.places:
             m.empty_since = now
         self.ledger.move_place(place, PlaceState.GONE, now)
+        self.ledger.drop_if_settled(job)  # also where a lease or a deletion ended its last task
 
     def release_all(self, m: Machine, now: float) -> None:
         for place in list(m.places.values()):
--- a/src/grebestand/reports/reading.py
+++ b/src/grebestand/reports/reading.py
@@ -158,6 +158,10 @@
             # its lease ended: it was away, or its reports come and the answers do not. They come seldom then, as it
             # tries one controller after the other; in between it lapsed here, and was used again with each report
             self.fleet.doubt(m, "its lease has ended", now, DOUBTFUL)
+            if m.places and m.state is not MachineState.LAPSED and not self.fleet.lease_over(m, now):
+                # it was answered within a lease: either the answer did not arrive, or this is a copy of an earlier life
+                # whose sessions nobody here has heard of. Taken for true, it ended what ran, and it was started again
+                return False
         return True
 
     def _outlived(self, m: Machine, r: Report, now: float) -> bool:
@@ -309,7 +313,7 @@
                 self.run_times.learn(job, now - place.run_at)
             if place is not None:
                 self.speeds.finished(m, place, now)
-                self._ended(m, place, now)
+                self.fleet.release(m, place, now)
             m.errors = 0
             m.error_jobs.clear()
             self.finish_task(job, index, now)
@@ -335,16 +339,12 @@
             log.info("%s on %s: its gang did not become complete", status.task, m.name)
         self._lost(m, place, why.value if why else "exited", now)
 
-    def _ended(self, m: Machine, place: Place, now: float) -> None:
-        self.fleet.release(m, place, now)
-        self.ledger.drop_if_settled(place.job)
-
     def _lost(self, m: Machine, place: Place, why: str, now: float) -> None:
         """A place ended without completing its task."""
         job = place.job
         log.debug("%s/%d on %s ended: %s", job.spec.id, place.index, m.name, why)
         was_queued = place.state is PlaceState.QUEUED
-        self._ended(m, place, now)
+        self.fleet.release(m, place, now)
         if job.gang and job.live and not was_queued and job.places:
             # the rest of this attempt is of no use: their progress since the last checkpoint is lost anyway,
             # and no task may start again before all of them are gone. An orderly stop goes on as it is.
--- a/tests/test_each_meeting.py
+++ b/tests/test_each_meeting.py
@@ -6,11 +6,15 @@
 from collections.abc import Iterator
 
 import gevent
+import msgspec
 import pytest
 
+from grebestand.books.fleet import Fleet
+from grebestand.books.jobs import Job
 from grebestand.doors.users import UserDoor
 from grebestand.leading.leadership import KEY, Leadership
 from grebestand.leading.progress import Progress
+from grebestand.leading.term import Term
 from grebestand.limits.budget import Urgency
 from grebestand.outside.state import StateError, absent, put
 from grebestand.records.jobs import OverRecord, ending
@@ -18,9 +22,9 @@
 from grebestand.standin.memory import Node, World
 from grebestand.standin.several import STATE, Several, Way
 from grebestand.standin.virtual import VirtualLoop, simulated
-from grebestand.states import JobState
+from grebestand.states import JobState, Reception
 from grebestand.wire.jobs import JobView
-from grebestand.wire.workers import Why
+from grebestand.wire.workers import Report, Why
 
 
 @pytest.fixture
@@ -362,3 +366,34 @@
         world.links.set(first, far, Way.HELD)
     gevent.sleep(40)
     assert world.broken()
+
+
+def a_copy_of_an_earlier_life() -> tuple[Term, Job, Report]:
+    """A machine that lapsed and counted anew while its leader heard nothing; a copy of its later session comes late."""
+    world = World()
+    w = world.worker("n-000000")
+    term = Node(world, "node-0").lead()
+    world.settle(term, 3)
+    ref = world.accept(Node(world, "node-9"), shards=2)
+    world.settle(term, 4)
+    assert len(w.running()) == 2
+    seen = w.report()
+    return term, term.ledger.jobs[ref], msgspec.structs.replace(seen, session=seen.session + 1, seq=3, tasks=[])
+
+
+def test_a_later_session_than_could_have_begun_is_asked_about() -> None:
+    """Found by the search (seed 201, world 1080): taken for true, it ended what ran there, and six tasks ran twice."""
+    term, job, copy = a_copy_of_an_earlier_life()
+    term.checkin(copy)
+    assert len(job.places) == 2
+    (m,) = term.fleet.machines
+    assert m.reception is Reception.DOUBTED and m in term.proof.to_ask(term.clock())
+    term.proof.ask(m)
+    assert m.reception.name == "HEARS" and len(job.places) == 2
+
+
+def test_believed_it_would_end_what_runs(monkeypatch: pytest.MonkeyPatch) -> None:
+    term, job, copy = a_copy_of_an_earlier_life()
+    monkeypatch.setattr(Fleet, "lease_over", lambda self, m, now: True)
+    term.checkin(copy)
+    assert not job.places
