KNOWN-RED.txt is held to its rules by the test run

Need: the operators allow three tests that fail for a real fault, listed, printed, and strictly so. Change: tests/conftest.py marks the listed ones, which then have to fail; an unknown name, a fourth line, another form and a listed test that passes end the run with an error. Nothing is listed.

--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,49 @@
+"""KNOWN-RED.txt: tests that fail for a real fault which is not mended yet, three at most, and nothing else.
+
+A line each: `tests/test_x.py::test_y, cause, issue`. A listed test has to fail: it is printed and passed over. A name
+that no test has, a fourth line, a line of another form, and a listed test that passes end the run with an error.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+NAME = "KNOWN-RED.txt"
+MOST = 3
+
+
+def known_red(root: Path) -> dict[str, str]:
+    """What is listed, with cause and issue; raises `pytest.UsageError` for what must not stand there."""
+    path = root / NAME
+    lines = path.read_text("utf-8").splitlines() if path.exists() else []
+    if len(lines) > MOST:
+        raise pytest.UsageError(f"{NAME}: {len(lines)} lines, {MOST} are allowed")
+    listed: dict[str, str] = {}
+    for line in lines:
+        name, *rest = (part.strip() for part in line.split(",", 2))
+        if len(rest) != 2 or not all((name, *rest)) or name in listed:
+            raise pytest.UsageError(f"{NAME}: not 'test, cause, issue': {line!r}")
+        listed[name] = ", ".join(rest)
+    return listed
+
+
+@pytest.hookimpl(tryfirst=True)
+def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
+    listed = known_red(config.rootpath)
+    found = {item.nodeid: item for item in items if item.nodeid in listed}
+    whole = config.args_source is not pytest.Config.ArgsSource.ARGS
+    for name in sorted(listed.keys() - found.keys()):
+        if whole or not (config.rootpath / name.partition("::")[0]).exists():
+            raise pytest.UsageError(f"{NAME}: no test has the name {name}")
+    for name, item in found.items():
+        item.add_marker(pytest.mark.xfail(reason=listed[name], strict=True))
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter, config: pytest.Config) -> Iterator[None]:
+    for name, why in known_red(config.rootpath).items():
+        terminalreporter.write_line(f"known red: {name}: {why}")
+    yield
