The checks of what users are told bite: shown by breaks made on purpose

Need: each new check of the simulated world's checker, done too early and an answer older than one given among them.

--- a/tests/test_gaps.py
+++ b/tests/test_gaps.py
@@ -9,6 +9,8 @@
 import msgspec
 import pytest
 
+from grebestand.doors.answer import Answer
+from grebestand.doors.users import UserDoor
 from grebestand.leading.knowledge import TIGHTEST_S, Knowledge, allowance_s
 from grebestand.leading.live_jobs import LiveJobs
 from grebestand.leading.sweep import Sweep
@@ -360,3 +362,23 @@
     term.proof.order_stops(m)
     assert world.checkin(term, w) is not None
     assert not w.running() and ref not in term.ledger.jobs
+
+
+@pytest.mark.parametrize(
+    ("cancels", "tide", "found"), [(False, "done", "is called done"), (True, "running", "was cancelled and is running")]
+)
+def test_older_answers_and_early_ones_are_found(
+    loop: VirtualLoop, monkeypatch: pytest.MonkeyPatch, cancels: bool, tide: str, found: str
+) -> None:
+    """Broken on purpose: every poll is answered the same."""
+    world = Several(loop, seed=2, machines=4)
+    world.task_s = (60.0, 90.0)
+    ref = world.submit("blue", 3)
+    gevent.sleep(10)
+    if cancels:
+        world.jobs[ref].cancel_at = loop.time
+        gevent.sleep(10)
+    same = Answer(200, json.dumps({"ref": ref, "tide": tide, "done": 0, "running": 0}).encode())
+    monkeypatch.setattr(UserDoor, "poll", lambda self, ident: same)
+    gevent.sleep(20)
+    assert any(found in text for text in world.broken())
