Tests: coming back and the end of all troubles stand in one place

Cause: three test files each had the same function for a process that comes back, and two the same list of what ends with all troubles; a trouble added to one would have outlasted the other's end. Change: tests/worlds.py.

--- a/tests/test_each_meeting.py
+++ b/tests/test_each_meeting.py
@@ -25,6 +25,7 @@
 from grebestand.states import JobState, Reception
 from grebestand.wire.jobs import JobView
 from grebestand.wire.workers import Report, Why
+from worlds import back
 
 
 @pytest.fixture
@@ -51,11 +52,6 @@
             job.cancel_at = min(job.cancel_at, world.loop.time)
 
 
-def back(world: Several, name: str) -> None:
-    if world.nodes[name] is None:
-        world.start(name)
-
-
 # 1. tasks of one job that end far apart ---------------------------------------------------------------------
 
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -22,6 +22,7 @@
 from grebestand.standin.several import STATE, Several, Way
 from grebestand.standin.virtual import simulated
 from grebestand.wire.workers import TaskReport, TaskStatus
+from worlds import back, heal
 
 MACHINES = 12
 #: plays with a higher seed also have jobs that are bound to one zone, or spread over both
@@ -54,11 +55,6 @@
     return [n for n in world.controllers if n != name]
 
 
-def back(world: Several, name: str) -> None:
-    if world.nodes[name] is None:
-        world.start(name)
-
-
 def crash(world: Several, names: list[str], seconds: float) -> None:
     for name in names:
         world.crash(name)
@@ -174,18 +170,6 @@
 PAIRS = list(itertools.combinations_with_replacement(range(len(KINDS)), 2))
 
 
-def heal(world: Several) -> None:
-    world.links.heal()
-    world.state.down = False
-    world.copies = world.late_writes = world.slow_s = world.late_orders = 0.0
-    world.eager = 1.0
-    world.loop.frozen.clear()
-    for name in world.controllers:
-        back(world, name)
-    for seat in world.machines.values():
-        seat.hung, seat.deaf_to = False, frozenset()
-
-
 def met(first: int, second: int, seed: int) -> list[str]:
     """What came of it when two kinds of trouble met: rules that were broken, jobs that were lost."""
     rng = random.Random(f"{first} {second} {seed}")
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -23,6 +23,7 @@
 from grebestand.standin.several import STATE, Several, Way
 from grebestand.standin.virtual import simulated
 from grebestand.wire.workers import Report
+from worlds import back, heal
 
 NODES = ("node-0", "node-1", "node-2")
 ENDS = (STATE, "a", "b", *NODES)
@@ -85,11 +86,6 @@
 )
 
 
-def back(world: Several, name: str) -> None:
-    if world.nodes[name] is None:
-        world.start(name)
-
-
 def do(world: Several, event: tuple[object, ...]) -> None:
     match event:
         case ("cut", str(near), str(far), Way() as way) if near != far:
@@ -161,15 +157,7 @@
             gevent.sleep(pause)
             do(world, event)
         gevent.sleep(15)
-        world.links.heal()
-        world.state.down = False
-        world.copies, world.eager = 0.0, 1.0
-        world.late_writes = world.slow_s = world.late_orders = 0.0
-        world.loop.frozen.clear()
-        for name in NODES:
-            back(world, name)
-        for seat in world.machines.values():
-            seat.hung, seat.deaf_to = False, frozenset()
+        heal(world)
         # a team at its limit has its work done late, and all of it
         wrong = world.settled(400.0)
         broken = world.broken()
--- /dev/null
+++ b/tests/worlds.py
@@ -0,0 +1,24 @@
+"""What several test files do to a world of several controllers: processes come back, and all troubles end."""
+
+from __future__ import annotations
+
+from grebestand.standin.several import Several
+
+
+def back(world: Several, name: str) -> None:
+    """A new process under this name, if there is none."""
+    if world.nodes[name] is None:
+        world.start(name)
+
+
+def heal(world: Several) -> None:
+    """All troubles are over, whatever else has begun meanwhile."""
+    world.links.heal()
+    world.state.down = False
+    world.copies = world.late_writes = world.slow_s = world.late_orders = 0.0
+    world.eager = 1.0
+    world.loop.frozen.clear()
+    for name in world.controllers:
+        back(world, name)
+    for seat in world.machines.values():
+        seat.hung, seat.deaf_to = False, frozenset()
