What is known to be over is not taken from an older record

Cause: a job that was accepted and cancelled elsewhere within a moment, or cancelled while a new leader reads the records, can be heard of as cancelled (greeting) before the watch or the reading tells of the job itself. It was then taken for live and started after its user had been told.

Change: `LiveJobs.take` passes over an id whose end is known; `begin` removes those that were heard of while the records were read; `removed` does nothing to a job that is no longer live (a second word of a cancellation set the bound anew until which its machine is answered).

--- a/src/grebestand/leading/live_jobs.py
+++ b/src/grebestand/leading/live_jobs.py
@@ -9,7 +9,6 @@
 
 from ..outside.state import StateError, TooOld
 from ..records.jobs import LiveRecord
-from ..states import JobState
 from ..wire.store import Event
 from .basis import Basis, Part
 from .closing import Closing
@@ -35,6 +34,10 @@
                 known.version, known.abroad, known.away = version, None, False
                 self.ledger.changed = True
             return
+        if self.closing.finals.get(record.spec.id) is not None:
+            # what is over stays so: this was written before, and its removal is still to come this way. Taken for
+            # live, it was started after its user had been told that it is cancelled
+            return
         age = min(max(0.0, self.basis.wall() - record.at), 86400.0)
         job = self.ledger.add(record.spec, version, now - age, now)
         job.wait_since = now
@@ -78,10 +81,8 @@
 
     def removed(self, ident: str, now: float) -> None:
         job = self.ledger.jobs.get(ident)
-        if job is None or job.state is JobState.DONE:
-            return
-        if job.state is JobState.CLOSING:
-            return  # either this leader's own commit, or one that settles it by failing
+        if job is None or not job.live:
+            return  # known already, or CLOSING: this leader's own commit, or one that settles it by failing
         log.info("%s was cancelled", ident)
         # it was live when all was last known, so nobody was told of this before
         job.answers_until = self.leadership.knowledge.answers_until()
@@ -103,7 +104,9 @@
         return seen
 
     def begin(self) -> None:
-        """All that was read is in the books."""
+        """All that was read is in the books, and so is what was heard of meanwhile."""
+        for ident in [i for i in self.ledger.jobs if self.closing.finals.get(i) is not None]:
+            self.removed(ident, self.clock())
         self.leadership.caught_up(self.token, self._read_at)
 
     def _reread(self) -> None:
