A start needs newer knowledge of cancellations than a renewal

Cause: authority and the bound on what is known of cancellations let a leader answer for up to 12 to 15 s (the hold), in some gaps 29 s, after it last heard of any. For renewing leases that is argued; starts rode on it too.

Change: starts are written into answers only if a current read was sent, or every other controller has answered a greeting that was sent, within the last three seconds. Nobody else confirms cancellations, and each tells of all of the last 30 s; so in an outage of the state service work goes on while all controllers hear each other, and a leader that is cut off stops starting. What a controller says counts only once a read is newer than the first word of its present process. The watch is asked anew every second instead of five.

Ruled out: the live record as a condition of the grant's commit, since one grant covers many starts; a read for each answer, which an outage would turn into no start at all.

--- a/src/grebestand/doors/peers.py
+++ b/src/grebestand/doors/peers.py
@@ -20,6 +20,9 @@
 HANGS_S, SILENT_S = 0.5, 2.0
 #: how often the leader tells the others which images the machines have
 IMAGES_S = 5.0
+#: cancellations are told to the others for so long, in seconds, and so many at the most; an answer that follows the one
+#: before within the second time has left none out, whatever clocks drift
+TOLD_S, TOLD_WHOLE_S, MOST_TOLD = 30.0, 25.0, 500
 
 
 class PeerDoor:
@@ -71,6 +74,10 @@
             peer.hangs_since = min(peer.hangs_since, sent)
         if answer is not None:
             # answers only: they are as old as the request allows, while a message may have been held for minutes
+            anew = peer.last is None or peer.last.incarnation != answer.incarnation
+            if anew or sent - peer.told_at > TOLD_WHOLE_S or len(answer.cancelled) >= MOST_TOLD:
+                peer.told_from = self.clock()
+            peer.told_at = max(peer.told_at, sent)
             if peer.last is not None and peer.last.incarnation != answer.incarnation:
                 # all that its earlier process said of its links is of another
                 log.info("%s has begun anew", peer.name)
@@ -79,6 +86,15 @@
             peer.heard_at, peer.last = self.clock(), answer
             self._take_hello(answer)
 
+    def told_up_to(self, known_at: float) -> float:
+        """Up to when all others have told of every cancellation that they confirmed, given what was read at `known_at`.
+
+        Nobody else confirms any. What an earlier process of theirs had told nobody of was committed before that read,
+        if this one was heard of before it.
+        """
+        told = (p.told_at if known_at >= p.told_from else -math.inf for p in self.peers)
+        return min(told, default=self.clock())
+
     def hangs(self, name: str) -> bool:
         """Whether another controller has not answered for a while, nor refused to."""
         now = self.clock()
--- a/src/grebestand/leading/checkins.py
+++ b/src/grebestand/leading/checkins.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+
 from ..books.machine import Machine
 from ..states import JobState, LeaderState, MachineState, Reception
 from ..wire.jobs import MAX_TASKS, Malformed, split_task
@@ -12,6 +14,8 @@
 from .proof import Proof
 from .rentals import Rentals
 
+log = logging.getLogger("grebestand.checkins")
+
 #: how long a report waits for its starts' grants before it is answered without them
 GRANT_WAIT_S = 0.25
 
@@ -26,6 +30,19 @@
         #: when a worker last reported, and whether one has in this term
         self.heard_at = self.clock()
         self.first_heard = False
+        #: since when nothing is started, as too little is known of cancellations
+        self.held_since: float | None = None
+
+    def _may_start(self) -> bool:
+        """Whether what is known of cancellations is recent enough for starts; tells when that changes."""
+        starts, held = self.leadership.knowledge.lets_start(), self.held_since
+        if starts and held is not None:
+            log.info("starts go on after %.1f s", self.clock() - held)
+            self.held_since = None
+        elif not starts and held is None:
+            self.held_since = self.clock()
+            log.info("starts wait: cancellations are known up to %.1f s ago only", self.leadership.knowledge.age_s)
+        return starts
 
     def may_answer(self, report: Report) -> bool:
         """Whether this term may answer it. One that has seen a higher token has the key looked at first."""
@@ -82,7 +99,8 @@
             return self._nothing_new(report)  # a newer report came meanwhile
         # what a report of an older token lists may have changed since, and may not be all: nothing follows from it
         answers = self.basis.answers
-        commands = answers.commands(m, report, now) if m.token == self.token else answers.unwanted(report)
+        starts = self._may_start()
+        commands = answers.commands(m, report, now, starts) if m.token == self.token else answers.unwanted(report)
         m.given_at = now
         return Orders(self.token, commands)
 
--- a/src/grebestand/leading/knowledge.py
+++ b/src/grebestand/leading/knowledge.py
@@ -26,7 +26,10 @@
 #: worker serves nobody
 TIGHTEST_S = 2.0
 #: how long a watch of the live records is left open, in seconds: at the most, and at the least
-MOST_WATCHED_S, LEAST_WATCHED_S = 5.0, 0.5
+MOST_WATCHED_S, LEAST_WATCHED_S = 1.0, 0.5
+#: a start needs to know of every cancellation that was confirmed up to so long ago, in seconds: of two watches that
+#: follow each other, and an answer that is slow
+STARTS_S = 3.0
 
 
 def allowance_s(workers: Workers) -> float:
@@ -42,6 +45,8 @@
         self.allow_s = max(allow_s, TIGHTEST_S)
         #: every cancellation confirmed up to then is in the books
         self.known_at = -math.inf
+        #: up to when all other controllers have told of what they confirmed, given what is known by reading
+        self.told_up_to: Callable[[float], float] = lambda known_at: -math.inf
 
     @property
     def watch_ms(self) -> int:
@@ -56,6 +61,15 @@
         """Whether a lease that is renewed now ends in time for whatever this term has not heard of."""
         return self.clock() <= self.answers_until()
 
+    def lets_start(self) -> bool:
+        """Whether a task may be started now: leases may be renewed on older knowledge than work may begin on.
+
+        In an outage of all nobody confirms anything, and the other controllers say so; a leader that hears neither the
+        state service nor all of them is likely to be the one that is cut off, and others cancel through the next.
+        """
+        known = max(self.known_at, self.told_up_to(self.known_at))
+        return self.allow_s == math.inf or self.clock() <= known + STARTS_S
+
     def answers_until(self) -> float:
         """Until when an answer may leave that does not stop what was cancelled after `known_at`."""
         return self.known_at + self.allow_s if self.allow_s < math.inf else math.inf
--- a/src/grebestand/outside/peer.py
+++ b/src/grebestand/outside/peer.py
@@ -21,6 +21,10 @@
         self.transport = transport
         self.heard_at = float("-inf")
         self.last: Hello | None = None
+        #: when the greeting that it answered last had been sent; and since when each of its answers has followed the
+        #: one before so soon that no cancellation it confirmed can have been left out
+        self.told_at = float("-inf")
+        self.told_from = float("inf")
         #: since when greetings hang there, and are not refused: its process or its machine stands still
         self.hangs_since = float("inf")
 
--- a/src/grebestand/process/controller.py
+++ b/src/grebestand/process/controller.py
@@ -14,7 +14,7 @@
 
 from ..doors.answer import Answer
 from ..doors.current import CurrentReads
-from ..doors.peers import IMAGES_S, PeerDoor
+from ..doors.peers import IMAGES_S, MOST_TOLD, TOLD_S, PeerDoor
 from ..doors.server import listen, read_body, respond
 from ..doors.users import UserDoor
 from ..doors.workers import WorkerDoor
@@ -49,8 +49,8 @@
 RENEW_S = 0.5
 #: a transaction may have so many times as many conditions as changes; one is left to spare
 CONDITIONS = 3
-#: cancellations are told to the others for so long, in seconds, so many at the most, and so long after the first
-TOLD_S, MOST_TOLD, TELL_S = 30.0, 500, 0.1
+#: cancellations are told to the others so long after the first, in seconds
+TELL_S = 0.1
 #: all live jobs are looked over so often, in seconds
 SWEEP_S = 5.0
 
@@ -116,6 +116,7 @@
         #: of this process among all that ever had its name
         self.incarnation = self.rng.getrandbits(62)
         self.peers.ended = self.leadership.ended
+        knowledge.told_up_to = self.peers.told_up_to
         self.users.recall = self._recall
         #: cancelled here lately, and when: told to the others, who may not hear of it otherwise
         self.cancelled: OrderedDict[str, float] = OrderedDict()
--- a/src/grebestand/reports/answers.py
+++ b/src/grebestand/reports/answers.py
@@ -19,8 +19,11 @@
         self.ledger = ledger
         self.sketches = sketches
 
-    def commands(self, m: Machine, r: Report, now: float) -> list[Command]:
-        """What the worker is told. Starts ride on check-in responses only, and only to recorded machines."""
+    def commands(self, m: Machine, r: Report, now: float, starts: bool = True) -> list[Command]:
+        """What the worker is told. Starts ride on check-in responses only, and only to recorded machines.
+
+        Without `starts` nothing begins now; what is queued waits for the next report.
+        """
         out: list[Command] = []
         forgets: list[Command] = []
         for status in r.tasks:
@@ -44,7 +47,7 @@
                 place.stop_sent_at = now
         # stops first, as this answer renews the lease of what they are for; what is forgotten may start again
         out = (out + forgets)[:MOST_COMMANDS]
-        for place in m.places.values() if m.state is MachineState.READY and m.recorded else ():
+        for place in m.places.values() if starts and m.state is MachineState.READY and m.recorded else ():
             if len(out) >= MOST_COMMANDS:
                 break
             if place.stop is not None:
