--- a/src/grebestand/standin/several.py
+++ b/src/grebestand/standin/several.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from typing import Any
 
 import gevent
 import msgspec
@@ -25,6 +26,7 @@
 from ..states import LeaderState
 from ..wire.cloud import MachineType
 from ..wire.workers import DirectOrders, Elsewhere, Orders, Why
+from .asked import Asked
 from .cloud import CloudModel
 from .memory import SETTINGS
 from .store import StoreModel
@@ -38,8 +40,15 @@
 SLOW_S = 0.8
 #: what is carried out late, comes so long after it was sent, in seconds
 LATE_S = (2.0, 12.0)
-#: a job about which no question is answered for so long, in seconds, counts as forgotten
-FORGOTTEN_S = 75.0
+#: a job about which no question is answered for so long, in seconds, counts as forgotten; one that waits for so long,
+#: troubles over, while it could begin, counts as left waiting
+FORGOTTEN_S, WAITED_S = 75.0, 90.0
+#: close looks come within so long of what they look at, in seconds, and so many at each controller
+LOOK_S, LOOKS = 0.03, 2
+#: kept copies of reports come within so long of a new key, in seconds, and so many at the most
+KEPT_S, MOST_KEPT = 0.25, 60
+#: what a machine has
+ROOM = 16.0
 #: users wait for so long for an answer to a poll, and to anything else
 POLL_S, PATIENCE_S = 2.0, 5.0
 #: the machines stay as they are: none is rented, and none returned for being idle
@@ -190,6 +199,8 @@
     dead: bool = False
     #: controllers whose answers and commands do not come through, while its reports arrive there
     deaf_to: frozenset[str] = frozenset()
+    #: it can open no connection to any controller, while direct commands reach it
+    mute: bool = False
     #: how often it has begun anew
     begun: int = 0
 
@@ -207,8 +218,12 @@
         super().begin(task, attempt)
         assert self.world is not None
         self.world.starts.append(self.world.loop.time)
+        job = self.world.jobs[task.rpartition("/")[0]]
+        job.begun_at = min(job.begun_at, self.world.loop.time)
+        if job.cancelled_at is not None:
+            self.world.after_cancel.append((self.world.loop.time - job.cancelled_at, task))
         self.ends[task] = self.world.loop.time + self.world.rng.uniform(*self.world.task_s)
-        if self.world.jobs[task.rpartition("/")[0]].broken:
+        if job.broken:
             self.ends[task] = self.world.loop.time + 1.0
 
     def play(self) -> None:
@@ -225,6 +240,7 @@
                 self.finish(task, Why.ERROR if broken else Why.DONE)
                 if not broken:
                     self.world.finished.add(task)
+                    self.world.task_ended(task)
         self.world.saw(self)
 
     def restart(self, anew: bool) -> None:
@@ -247,6 +263,9 @@
     def report_to(self, name: str) -> tuple[int, bytes]:
         assert self.world is not None
         world = self.world
+        if self.mute:
+            gevent.sleep(1.0)
+            raise Unreachable("no connection")
         wire = Wire(world.links, world.rng, self.zone, name, lambda: world.door(name))
         sent = world.loop.time
         session, begun = self.session, self.begun
@@ -255,6 +274,8 @@
             # to whoever is there then, long after its worker has gone on, or is gone
             late, at = world.rng.uniform(1.0, 3.0 * world.lease_s), world.rng.choice(world.controllers)
             gevent.spawn_later(late, world.deliver, at, body)
+        if world.kept and len(world.kept_reports) < MOST_KEPT and world.luck.random() < world.kept:
+            world.kept_reports.append(body)
         status, answer = wire.request("POST", "/checkin", body, 4.0)
         if name in self.deaf_to:
             gevent.sleep(4.0)
@@ -299,39 +320,18 @@
             gevent.sleep(world.report_s * world.rng.uniform(0.75, 1.25))
 
 
-@dataclass
-class Asked:
-    """What a user saw of a job."""
-
-    team: str
-    tasks: int
-    cpus: float
-    asked_at: float
-    accepted_at: float | None = None
-    done_at: float | None = None
-    #: when a question about it was last answered, and the longest that it took since `Several.calm_at`
-    answered_at: float = 0.0
-    unanswered_s: float = 0.0
-    #: it was submitted with a mistake, and fails wherever it is started
-    broken: bool = False
-    gang: bool = False
-    #: all its tasks have to be in one zone; at most half of them, rounded up, may be
-    same_place: bool = False
-    scatter: bool = False
-    #: when its user asks to cancel it, and when it was told that it is cancelled
-    cancel_at: float = math.inf
-    cancelled_at: float | None = None
-
-    @property
-    def over(self) -> bool:
-        return self.done_at is not None or self.cancelled_at is not None
-
-
 class Several:
     """A cluster. Use it inside `simulated()`; `gevent.sleep` lets it run."""
 
     def __init__(
-        self, loop: VirtualLoop, seed: int = 1, controllers: int = 3, machines: int = 24, rules: str = RULES
+        self,
+        loop: VirtualLoop,
+        seed: int = 1,
+        controllers: int = 3,
+        machines: int = 24,
+        rules: str = RULES,
+        rps: float = 10_000.0,
+        write_rps: float = 10_000.0,
     ) -> None:
         self.loop = loop
         self.seed = seed
@@ -343,12 +343,17 @@
         self.task_s = (3.0, 12.0)
         self.state = StoreModel(lambda: loop.time)
         self.cloud = CloudModel()
-        self.cloud.types = [MachineType("m4", 16.0, 0.0, 64.0, ["a", "b"], 50.0, 1.0, 1.0, 0.4, 30.0)]
-        self.cloud.removed = self._removed
+        self.cloud.types = [MachineType("m4", ROOM, 4.0, 64.0, ["a", "b"], 50.0, 1.0, 1.0, 0.4, 30.0)]
+        self.cloud.removed, self.cloud.rented = self._removed, self._rented
+        #: how long machines take until they are up, and until they are listed, in seconds
+        self.boot_s, self.listed_after_s = (0.2, 2.0), 8.0
+        self._deleted: set[str] = set()
         self.policy = policy.parse(rules, "several.toml", policy.default())
         self.born = 0
         self.names = {"127.0.0.1:3": CLOUD, "127.0.0.1:4": STATE}
         self.names |= {f"127.0.1.{i}:2": name for i, name in enumerate(self.controllers)}
+        self.rates = rps, write_rps
+        self.state.rps, self.state.write_rps = rps, write_rps
         self.settings = {name: self._settings(i) for i, name in enumerate(self.controllers)}
         w = self.settings["node-0"].params.workers
         self.lease_s, self.report_s, self.cancel_s = w.lease_s, w.report_s, w.cancel_s
@@ -376,6 +381,26 @@
         #: which part of the writes to the state service is carried out late and not answered; how late its other
         #: answers are at most, in seconds; which part of the direct commands, or of their answers, is held up
         self.late_writes = self.slow_s = self.late_orders = 0.0
+        #: which part of the writes is carried out at once, with nobody answered; which part of the reports is kept, to
+        #: come to all controllers just as the next leader begins
+        self.lost_answers = self.kept = 0.0
+        self.kept_reports: list[bytes] = []
+        #: users ask at all controllers within milliseconds of every acceptance, cancellation and end
+        self.close_looks = False
+        #: which part of the jobs is cancelled at the moment of its end
+        self.at_end = 0.0
+        #: how long after their users were told of a cancellation tasks of it were started, and which
+        self.after_cancel: list[tuple[float, str]] = []
+        #: when the last task of a job ended, and how long after that its user heard of it
+        self.ended_at: dict[str, float] = {}
+        self.told_late: dict[str, float] = {}
+        #: answers that came after a newer one, while both questions were under way
+        self.overlaps: list[str] = []
+        #: since when, troubles over, a job has waited though it could begin
+        self._waits: dict[str, float] = {}
+        self.left_waiting: list[str] = []
+        #: the most that each team has used since the last look at who waits
+        self._peak: dict[str, tuple[float, float]] = {}
         #: which part of a crowd's jobs is cancelled by its users
         self.cancelling = 0.0
         #: tasks that were completed somewhere
@@ -400,6 +425,9 @@
 
     def _settings(self, index: int) -> Settings:
         text = SETTINGS.replace('host_name = "node-0"', f'host_name = "node-{index}"')
+        text = text.replace("cpus_max = 16.0", "cpus_max = 16.0\ngpus = 2.0\ngpus_max = 4.0")
+        for key, rate in zip(("rps", "write_rps"), self.rates, strict=True):
+            text = text.replace(f"\n{key} = 10000.0", f"\n{key} = {rate}")
         text = text.replace("127.0.0.1:2", f"127.0.1.{index}:2").replace(
             "count = 1", f"count = {len(self.controllers)}"
         )
@@ -410,7 +438,25 @@
         )
         return parse(text.replace("[outside]", known + "[outside]"))
 
+    def _rented(self, names: list[str], want: dict[str, Any]) -> None:
+        for name in names:
+            gevent.spawn_later(self.luck.uniform(*self.boot_s), self._boot, name, str(want["quay"]), self.loop.time)
+            gevent.spawn_later(self.listed_after_s, self._list, name, str(want["quay"]), self.loop.time)
+
+    def _boot(self, name: str, zone: str, since: float) -> None:
+        if name not in self._deleted:
+            at = self.luck.randrange(len(self.controllers))
+            seat = self.machines[name] = Seat(name, zone=zone, world=self, node=at, addr=f"{name}:1")
+            seat.answered_at = self.loop.time
+            gevent.spawn(seat.run)
+
+    def _list(self, name: str, zone: str, since: float) -> None:
+        if name not in self._deleted:
+            entry = {"ref": name, "addr": f"{name}:1", "hull": "m4", "quay": zone, "driftwood": False}
+            self.cloud.listed.append({**entry, "tide": "running", "heldS": self.loop.time - since})
+
     def _removed(self, names: list[str]) -> None:
+        self._deleted.update(names)
         self.cloud.listed = [m for m in self.cloud.listed if m["ref"] not in names]
         for name in names:
             if name in self.machines:
@@ -461,6 +507,10 @@
             gevent.spawn_later(self.luck.uniform(*LATE_S), self.state.request, method, path, body, 1.0)
             gevent.sleep(1e6)
         status, answer = self.state.request(method, path, body, 1.0)
+        if self.kept_reports and status == 200 and path == "/commit" and b'"set":"leader"' in body:
+            self._deliver_kept()
+        if self.lost_answers and method != "GET" and self.luck.random() < self.lost_answers:
+            gevent.sleep(1e6)
         if path.startswith("/changes") and status == 200:
             answer = self._follow(near, path, answer)
         elif self.slow_s:
@@ -497,6 +547,13 @@
         if door is not None:
             door("POST", "/checkin", body)
 
+    def _deliver_kept(self) -> None:
+        """A new leader has the key: what was kept for it comes to all, before, while and after it reads the records."""
+        kept, self.kept_reports = self.kept_reports, []
+        for body in kept:
+            for name in self.controllers:
+                gevent.spawn_later(self.luck.uniform(0.0, KEPT_S), self.deliver, name, body)
+
     def leading(self) -> list[str]:
         """Controllers that would give orders now, by their own clocks."""
         return [
@@ -544,17 +601,33 @@
         for task in now - before:
             self._placed(task, seat)
         if now - before:
-            use: dict[str, float] = {}
-            for task in self._tasks:
-                job = self.jobs[task.rpartition("/")[0]]
-                use[job.team] = use.get(job.team, 0.0) + job.cpus
-            limits = {t.name: t.cpus_max for t in self.settings["node-0"].params.teams}
-            self.over += [f"{self.loop.time:.2f} {t} uses {u}" for t, u in use.items() if u > limits[t] + 1e-6]
+            use, limits = self._use_of_teams(), self._limits()
+            for team, (cpus, cards) in use.items():
+                most = self._peak.get(team, (0.0, 0.0))
+                self._peak[team] = max(cpus, most[0]), max(cards, most[1])
+            self.over += [
+                f"{self.loop.time:.2f} {t} uses {u}"
+                for t, u in use.items()
+                if any(a > b + 1e-6 for a, b in zip(u, limits[t], strict=True))
+            ]
+
+    def _limits(self) -> dict[str, tuple[float, float]]:
+        return {t.name: (t.cpus_max, t.gpus_max) for t in self.settings["node-0"].params.teams}
+
+    def _use_of_teams(self) -> dict[str, tuple[float, float]]:
+        use: dict[str, tuple[float, float]] = {}
+        for task in self._tasks:
+            job = self.jobs[task.rpartition("/")[0]]
+            cpus, cards = use.get(job.team, (0.0, 0.0))
+            use[job.team] = cpus + job.cpus, cards + job.cards
+        return use
 
     def _placed(self, task: str, seat: Seat) -> None:
         """A task has begun: whether its zone is right, given the others of its job at that moment."""
         ref = task.rpartition("/")[0]
         job = self.jobs[ref]
+        if job.zone and seat.zone != job.zone:
+            self.wrong.append(f"{self.loop.time:.2f} {task} in zone {seat.zone}, its job is bound to {job.zone}")
         if not (job.same_place or job.scatter):
             return
         zones = [self.machines[m].zone for t, m in self._tasks.items() if t != task and t.rpartition("/")[0] == ref]
@@ -571,74 +644,139 @@
         """A user who submits a job, and asks about it for ever; `broken` has a mistake in it."""
         ref = f"j-{len(self.jobs) + 1:06d}"
         broken = bool(more.pop("broken", False))
-        gang = more.get("shape") == "ensemble"
-        bound = bool(more.get("samePlace")), bool(more.get("scatter"))
-        self.jobs[ref] = Asked(
-            team, tasks, cpus, self.loop.time, broken=broken, gang=gang, same_place=bound[0], scatter=bound[1]
-        )
         spec = {
             "ref": ref, "lane": "work", "crew": team, "shape": "array", "rank": "standard", "shards": tasks,
             "cpus": cpus, "cards": 0.0, "ramGb": 1.0, "cargo": "img", "pullGb": 0.1, "hulls": None, "quay": None,
             "samePlace": False, "scatter": False, "driftwood": True, "reckonS": 8.0, "markS": 0.0, "stowS": 0.0,
             "dueS": None,
         }  # fmt: skip
-        gevent.spawn(self._use, ref, json.dumps({**spec, **more}).encode(), name)
+        spec |= more
+        self.jobs[ref] = Asked(ref, spec, self.loop.time, broken=broken)
+        gevent.spawn(self._use, ref, name)
         return ref
 
-    def _use(self, ref: str, body: bytes, name: str | None) -> None:
+    def _use(self, ref: str, name: str | None) -> None:
         job = self.jobs[ref]
         while True:
             at = name or self.rng.choice(self.controllers)
-            node = self.nodes[at]
-            if node is None or self.loop.frozen.get(self.hosts[at], 0.0) > self.loop.time:
+            if not self._serves(at):
                 gevent.sleep(1.0)
                 continue
-            asked = self.loop.time
             again = self.luck.random() < 0.1
             if job.accepted_at is None or (again and not job.over):
-                answer = node.users.submit(body)
-                if self.loop.time - asked < PATIENCE_S:
-                    if answer.status in (200, 201):
-                        if job.accepted_at is None:
-                            job.accepted_at = job.answered_at = self.loop.time
-                        self._told(ref, job, 200, answer.body, asked)
-                    elif job.accepted_at is not None and answer.status in (400, 404, 422):
-                        self.wrong.append(f"{self.loop.time:.2f} {ref} accepted and then answered {answer.status}")
+                self._ask("submit", ref, at)
                 gevent.sleep(1.0)
-                continue
-            if asked >= job.cancel_at and not job.over:
-                answer = node.users.cancel(ref)
-                if self.loop.time - asked < PATIENCE_S:
-                    self._told(ref, job, answer.status, answer.body, asked)
+            elif self.loop.time >= job.cancel_at and not job.over:
+                self._ask("cancel", ref, at)
                 gevent.sleep(1.0)
-                continue
-            answer = node.users.poll(ref)
-            if self.loop.time - asked < POLL_S:
-                self._told(ref, job, answer.status, answer.body, asked)
-            gevent.sleep((2.0 if not job.over else 6.0) / self.eager)
+            else:
+                self._ask("poll", ref, at)
+                gevent.sleep((2.0 if not job.over else 6.0) / self.eager)
+
+    def _serves(self, name: str) -> bool:
+        """Whether users are sent to this controller."""
+        return self.nodes[name] is not None and self.loop.frozen.get(self.hosts[name], 0.0) <= self.loop.time
+
+    def _ask(self, what: str, ref: str, at: str) -> None:
+        """One question of a user, and its answer, if that comes in time from a process that is still there."""
+        job, node, asked = self.jobs[ref], self.nodes[at], self.loop.time
+        if node is None:
+            return
+        door = node.users
+        answer = door.submit(job.body) if what == "submit" else (door.cancel if what == "cancel" else door.poll)(ref)
+        patience = POLL_S if what == "poll" else PATIENCE_S
+        if self.nodes[at] is not node or self.loop.time - asked >= patience:
+            return
+        done_before = [f"{ref}/{i}" for i in range(job.tasks) if f"{ref}/{i}" not in self.finished]
+        news = job.told(what, answer.status, answer.body, asked, self.loop.time, self.calm_at, done_before)
+        self.wrong += [f"{self.loop.time:.2f} {ref} {text} (by {at})" for text in news.wrong]
+        self.overlaps += [f"{self.loop.time:.2f} {ref} {text} (by {at})" for text in news.overlaps]
+        if news.newer:
+            if job.done_at is not None:
+                self.told_late[ref] = self.loop.time - self.ended_at.get(ref, self.loop.time)
+            self.look_closely(ref)
+
+    def task_ended(self, task: str) -> None:
+        """If it was the last one of its job, some are called off at that moment, and users look."""
+        ref = task.rpartition("/")[0]
+        job = self.jobs[ref]
+        if any(f"{ref}/{i}" not in self.finished for i in range(job.tasks)) or job.over:
+            return
+        if self.at_end and self.luck.random() < self.at_end:
+            job.cancel_at = min(job.cancel_at, self.loop.time)
+        self.ended_at[ref] = self.loop.time
+        self.look_closely(ref)
+
+    def look_closely(self, ref: str) -> None:
+        """Questions at all controllers within milliseconds, while there are close looks."""
+        if not self.close_looks:
+            return
+        for name in self.controllers * LOOKS:
+            gevent.spawn_later(self.luck.uniform(0.0, LOOK_S), self._glance, ref, name)
 
-    def _told(self, ref: str, job: Asked, status: int, body: bytes, asked: float) -> None:
-        now = self.loop.time
-        if status == 404:
-            self.wrong.append(f"{now:.2f} {ref} accepted and then unknown")
-        if status != 200:
+    def _glance(self, ref: str, name: str) -> None:
+        if not self._serves(name):
+            return
+        kinds = ["poll", "poll", "submit"] + ["cancel"] * (self.loop.time >= self.jobs[ref].cancel_at)
+        self._ask(self.luck.choice(kinds), ref, name)
+
+    def cancel_now(self, count: int, hang_s: float = 0.0) -> list[str]:
+        """Users call off so many jobs that run, within a fifth of a second; some of their machines hang that long."""
+        running = sorted({t.rpartition("/")[0] for t in self._tasks})
+        refs = [r for r in running if not self.jobs[r].over][:count]
+        for ref in refs:
+            at = self.loop.time + self.luck.uniform(0.0, 0.2)
+            self.jobs[ref].cancel_at = min(self.jobs[ref].cancel_at, at)
+            gevent.spawn_later(
+                at - self.loop.time + 0.001, self._ask, "cancel", ref, self.luck.choice(self.controllers)
+            )
+        held = sorted({m for t, m in self._tasks.items() if t.rpartition("/")[0] in refs})[: 8 if hang_s else 0]
+        for name in held:
+            self.machines[name].hung = True
+            gevent.spawn_later(hang_s, setattr, self.machines[name], "hung", False)
+        return refs
+
+    def odd_request(self) -> None:
+        """Somebody sends what can't run or lacks a field, repeats an accepted id with nonsense, asks about no job."""
+        names = [n for n in self.controllers if self._serves(n)]
+        if not names:
+            return
+        at = self.luck.choice(names)
+        node, known = self.nodes[at], [r for r, j in self.jobs.items() if j.accepted_at is not None]
+        assert node is not None
+        spec = dict(next(iter(self.jobs.values())).spec, ref=f"j-{900000 + self.luck.randrange(90000):06d}")
+        kind = self.luck.randrange(4 if known else 3)
+        asked = self.loop.time
+        if kind == 0:
+            del spec[self.luck.choice([f for f in spec if f not in ("ref", "hulls", "quay", "dueS")])]
+        elif kind == 1:
+            field, value = self.luck.choice(
+                [("cpus", 17.0), ("ramGb", 65.0), ("crew", "nobody"), ("shards", 0), ("shards", "x"), ("cpus", -1.0),
+                 ("hulls", ["none"]), ("quay", "nowhere"), ("cards", 5.0), ("shape", "ring"), ("shards", 100_001)]
+            )  # fmt: skip
+            spec[field] = value
+        elif kind == 2:
+            answer = node.users.poll(str(spec["ref"]))
+            if answer.status == 200:
+                self.wrong.append(f"{asked:.2f} {spec['ref']} was invented by {at}")
+            return
+        else:
+            ref = self.luck.choice(known)
+            answer = node.users.submit(json.dumps({**self.jobs[ref].spec, "shards": "x", "crew": "nobody"}).encode())
+            if answer.status not in (200, 503):
+                self.wrong.append(f"{asked:.2f} {ref} accepted, its repeat with nonsense answered {answer.status}")
             return
-        job.unanswered_s = max(job.unanswered_s, now - max(job.answered_at, self.calm_at))
-        job.answered_at = now
-        tide = json.loads(body)["tide"]
-        if job.done_at is not None and tide != "done":
-            self.wrong.append(f"{now:.2f} {ref} was done and is {tide}")
-        elif job.cancelled_at is not None and tide != "cancelled":
-            self.wrong.append(f"{now:.2f} {ref} was cancelled and is {tide}")
-        elif tide == "done" and job.done_at is None:
-            job.done_at = now
-            undone = [i for i in range(job.tasks) if f"{ref}/{i}" not in self.finished]
-            if undone and not job.gang:
-                self.wrong.append(f"{now:.2f} {ref} is called done, and tasks {undone[:5]} are not")
-        elif tide == "cancelled" and job.cancelled_at is None:
-            job.cancelled_at = now
-            if asked < job.cancel_at:
-                self.wrong.append(f"{now:.2f} {ref} is cancelled, and nobody asked for that")
+        answer = node.users.submit(json.dumps(spec).encode())
+        if answer.status not in (400, 422, 503):
+            self.wrong.append(f"{asked:.2f} {spec['ref']}: answered {answer.status} though it can't run: {spec}")
+
+    def odd_requests(self, until_s: float) -> None:
+        def go() -> None:
+            while self.loop.time < until_s:
+                gevent.spawn(self.odd_request)
+                gevent.sleep(0.3)
+
+        gevent.spawn(go)
 
     def longest_unanswered(self) -> tuple[float, str]:
         """The job that was left without an answer for the longest since all troubles were over, and for how long."""
@@ -681,13 +819,46 @@
         self.calm_at = self.loop.time
         left = ["all"]
         while self.loop.time < self.calm_at + most_s and (left or self.loop.time < self.calm_at + FORGOTTEN_S + 5.0):
-            gevent.sleep(10)
+            for _ in range(2):
+                gevent.sleep(5)
+                self._look_at_waiting()
             left = [ref for ref, j in self.jobs.items() if j.accepted_at is not None and not j.over and not j.broken]
         waited, ref = self.longest_unanswered()
         if waited > FORGOTTEN_S:
             left.append(f"{ref} unanswered for {waited:.1f} s")
         return self.broken() + left
 
+    def _look_at_waiting(self) -> None:
+        """Which jobs wait though machines that fit have room and their teams are under their limits."""
+        # the most since the last look: one of two tasks that follow each other is not room
+        use, limits, self._peak = self._peak, self._limits(), self._use_of_teams()
+        free = {name: ROOM for name, seat in self.machines.items() if not seat.dead}
+        for task, name in self._tasks.items():
+            if name in free:
+                free[name] -= self.jobs[task.rpartition("/")[0]].cpus
+        for ref, job in self.jobs.items():
+            waiting = [i for i in range(job.tasks) if not {f"{ref}/{i}"} & (self.finished | self._tasks.keys())]
+            there = [self.machines[m].zone for t, m in self._tasks.items() if t.rpartition("/")[0] == ref]
+            asks = job.tasks if job.gang else 1
+            under = all(
+                u + asks * a <= most + 1e-6
+                for u, a, most in zip(
+                    use.get(job.team, (0.0, 0.0)), (job.cpus, job.cards), limits[job.team], strict=True
+                )
+            )
+            could = job.accepted_at is not None and not job.over and not job.broken and waiting and under
+            if (
+                could
+                and not (job.gang and there)
+                and job.fits(free, {n: s.zone for n, s in self.machines.items()}, there)
+            ):
+                since = self._waits.setdefault(ref, self.loop.time)
+                if self.loop.time - since > WAITED_S:
+                    self.left_waiting.append(f"{ref} has waited since {since:.1f} though it could begin")
+                    self._waits[ref] = math.inf
+            else:
+                self._waits.pop(ref, None)
+
     def broken(self) -> list[str]:
         """Rules that were broken, as workers and users saw it."""
         return [
@@ -695,5 +866,6 @@
             *(f"limit: {t}" for t in self.over),
             *(f"ran cancelled: {t}" for t in self.late),
             *self.wrong,
+            *self.left_waiting,
             *(f"two leaders at {t:.1f}" for t in self.both),
         ]
--- a/src/grebestand/standin/store.py
+++ b/src/grebestand/standin/store.py
@@ -24,9 +24,11 @@
         self.log: list[dict[str, Any]] = []
         self.holds: dict[int, tuple[float, float]] = {}
         self._down = False
-        #: requests a second, with one second's worth as a burst; more are answered 429
-        self.rps = math.inf
-        self._left, self._left_at = 0.0, -math.inf
+        #: requests, and puts and deletes, a second, with one second's worth as a burst; more are answered 429
+        self.rps = self.write_rps = math.inf
+        self._left: dict[str, tuple[float, float]] = {}
+        #: puts and deletes that were asked for, whether their conditions held or not
+        self.writes = 0
         self.lose_answers = 0  # the next so many changes are made, but nobody hears of it
         self.largest_txn = 0
         self.largest_value = 0
@@ -49,8 +51,10 @@
     def request(self, method: str, path: str, body: bytes, timeout: float) -> tuple[int, bytes]:
         if self.down:
             return 503, b"{}"
-        if self._too_many():
+        changes = len(json.loads(body).get("apply") or ()) if path == "/commit" else 0
+        if self._too_many("requests", self.rps, 1) or self._too_many("writes", self.write_rps, changes):
             return 429, b"{}"
+        self.writes += changes
         self.expire()
         url = urlsplit(path)
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
@@ -60,14 +64,15 @@
             raise Unreachable("the answer was lost")
         return status, json.dumps(answer).encode()
 
-    def _too_many(self) -> bool:
-        if self.rps == math.inf:
+    def _too_many(self, what: str, rate: float, count: int) -> bool:
+        if rate == math.inf or not count:
             return False
         now = self.clock()
-        self._left = min(self.rps, self._left + self.rps * (now - self._left_at))
-        self._left_at = now
-        self._left -= self._left >= 1.0
-        return self._left < 1.0
+        left, at = self._left.get(what, (rate, now))
+        left = min(rate, left + rate * (now - at))
+        enough = left >= count
+        self._left[what] = left - count * enough, now
+        return not enough
 
     def expire(self) -> None:
         for hold, (_, end) in list(self.holds.items()):
--- a/tests/test_apart.py
+++ b/tests/test_apart.py
@@ -8,6 +8,7 @@
 import pytest
 
 from grebestand.books.fleet import Fleet
+from grebestand.doors.peers import PeerDoor
 from grebestand.standin.several import STATE, Several, Way
 from grebestand.standin.virtual import VirtualLoop, simulated
 from grebestand.states import LeaderState, Reception
@@ -155,10 +156,8 @@
     all_over(world)
 
 
-def test_where_two_of_three_stand_still_the_third_keeps_reports_until_it_leads(loop: VirtualLoop) -> None:
-    """Workers were named the silent leader, waited four seconds there and four at the other, and came back after their
-    leases: 2,091 tasks were killed in a day of operations."""
-    world = busy(loop, until_s=60.0)
+def killed_while_two_stand_still(loop: VirtualLoop, seed: int) -> int:
+    world = busy(loop, seed, until_s=60.0)
     world.task_s = (60.0, 90.0)
     gevent.sleep(10)
     (first,) = world.leading()
@@ -168,9 +167,28 @@
     killed = world.killed
     world.freeze(first, 35.0)
     gevent.sleep(35)
-    assert [n for _, n, _ in world.leaders[1:]] == [others[1]] and world.killed - killed <= 8
-    world.task_s = (3.0, 12.0)
-    all_over(world, 500.0)
+    assert [n for _, n, _ in world.leaders[1:]] == [others[1]]
+    killed = world.killed - killed
+    if seed == 1:
+        world.task_s = (3.0, 12.0)
+        all_over(world, 500.0)
+    return killed
+
+
+def test_where_two_of_three_stand_still_the_third_keeps_reports_until_it_leads(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Workers were named the silent leader, waited four seconds there and four at the other, and came back after their
+    leases: 2,091 tasks were killed in a day of operations. One play says little (0 to 58 of them), eight do."""
+
+    def killed() -> int:
+        total = 0
+        for seed in range(1, 9):
+            with simulated() as virtual:
+                total += killed_while_two_stand_still(virtual, seed)
+        return total
+
+    assert killed() <= 120
+    monkeypatch.setattr(PeerDoor, "hangs", lambda self, name: False)
+    assert killed() > 160
 
 
 def test_polls_fifty_times_as_often_starve_neither_submissions_nor_the_hold(loop: VirtualLoop) -> None:
--- a/tests/test_gaps.py
+++ b/tests/test_gaps.py
@@ -102,13 +102,15 @@
 
 
 def unheard(monkeypatch: pytest.MonkeyPatch) -> None:
-    """The other controllers do not tell of cancellations: they are a help, and no rule rests on them."""
+    """Neither the other controllers nor its own users' questions tell a leader: a help, on which no rule rests."""
     monkeypatch.setattr(Controller, "_hear_cancelled", lambda *_: None)
+    monkeypatch.setattr(Controller, "_stop_cancelled", lambda *_: None)
 
 
 def time_alone(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Broken: authority is time alone."""
+    """Broken: authority is time alone, for renewals and for starts."""
     monkeypatch.setattr(Knowledge, "fresh", lambda self: True)
+    monkeypatch.setattr(Knowledge, "lets_start", lambda self: True)
 
 
 def old_books(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 import itertools
+import math
 import os
 import random
 from collections.abc import Callable
 from typing import Any
 
 import gevent
+import msgspec
 import pytest
 
 from grebestand.decisions.placing import Placing
@@ -27,6 +29,10 @@
 MACHINES = 12
 #: plays with a higher seed also have jobs that are bound to one zone, or spread over both
 BOUND_ABOVE = 8
+#: a start so long after its user was told of the cancellation, in seconds, rests on knowledge that is too old
+STARTED_S = 20.0
+#: with a higher one, there is more work than the teams may run
+FULL_ABOVE = 16
 
 
 def leader(world: Several) -> str:
@@ -126,8 +132,10 @@
 
 
 def zone_cut(world: Several, rng: random.Random) -> None:
+    """One zone's machines, from all controllers."""
+    zone, seconds = rng.choice("ab"), rng.uniform(5.0, 60.0)
     for name in world.controllers:
-        cut(world, name, [rng.choice("ab")], Way.HELD, rng.uniform(5.0, 60.0))
+        cut(world, name, [zone], Way.HELD, seconds)
 
 
 def deaf(world: Several, rng: random.Random) -> None:
@@ -163,9 +171,84 @@
     for_a_while(world, "eager", 10.0, rng.uniform(3.0, 15.0), 1.0)
 
 
+def zone_apart(world: Several, rng: random.Random) -> None:
+    """One zone's machines with one controller, from the other controllers and from all that is outside."""
+    zone, seconds = rng.choice("ab"), rng.uniform(5.0, 60.0)
+    inside = rng.choice([leader(world), *world.controllers])
+    cut(world, inside, [STATE, *others(world, inside), "b" if zone == "a" else "a"], Way.HELD, seconds)
+    for name in others(world, inside):
+        cut(world, name, [zone], Way.HELD, seconds)
+
+
+def lost_answers(world: Several, rng: random.Random) -> None:
+    for_a_while(world, "lost_answers", rng.uniform(0.1, 0.7), rng.uniform(5.0, 40.0))
+
+
+def kept_reports(world: Several, rng: random.Random) -> None:
+    """Kept for the next leader, which begins some time later; machines have gone on, or are gone, by then."""
+    for_a_while(world, "kept", 0.6, rng.uniform(3.0, 12.0))
+    for pause in (rng.uniform(3.0, 12.0), rng.uniform(14.0, 40.0)):
+        gevent.spawn_later(pause, crash, world, [leader(world)], rng.uniform(0.1, 6.0))
+
+
+def close_looks(world: Several, rng: random.Random) -> None:
+    for_a_while(world, "close_looks", True, rng.uniform(10.0, 60.0), False)
+
+
+def at_end(world: Several, rng: random.Random) -> None:
+    for_a_while(world, "at_end", rng.uniform(0.3, 1.0), rng.uniform(10.0, 60.0))
+
+
+def cancel_now(world: Several, rng: random.Random) -> None:
+    world.cancel_now(rng.randint(2, 8), rng.choice([0.0, rng.uniform(5.0, 60.0)]))
+
+
+def mute(world: Several, rng: random.Random) -> None:
+    """They reach no controller, while direct commands reach them: some machines, a zone, or all."""
+    names = rng.choice([some(world, rng), sorted(world.machines)[::2], sorted(world.machines)])
+    seconds = rng.uniform(5.0, 60.0)
+    for name in names:
+        for_a_while(world.machines[name], "mute", True, seconds, False)
+
+
+def odd_requests(world: Several, rng: random.Random) -> None:
+    world.odd_requests(world.loop.time + rng.uniform(5.0, 40.0))
+
+
+def all_away(world: Several, rng: random.Random) -> None:
+    """All controllers, for longer than the workers' lease."""
+    crash(world, world.controllers, rng.uniform(1.05, 2.5) * world.lease_s)
+
+
+def ten_changes(world: Several, rng: random.Random) -> None:
+    """The leader ends or gives way again and again."""
+    for i in range(10):
+        gevent.spawn_later(i * rng.uniform(6.0, 12.0), changes_once, world, rng)
+
+
+def changes_once(world: Several, rng: random.Random) -> None:
+    if world.calm_at == math.inf:
+        crash(world, [leader(world)], rng.uniform(0.1, 5.0)) if rng.random() < 0.5 else give_way(world, rng)
+
+
+def taken(world: Several, rng: random.Random) -> None:
+    """Machines are taken away without notice, and their names come no more."""
+    for name in rng.sample(sorted(world.machines), 3):
+        world.cloud.request("POST", "/machines/delete", msgspec.json.encode({"vessels": [name]}), 1.0)
+
+
+def cancelled_as_refused(world: Several, rng: random.Random) -> None:
+    """Called off at the very moment at which the leader alone is refused; then it is out for all for longer."""
+    cut(world, leader(world), [STATE], way(rng), rng.uniform(4.0, 20.0))
+    world.cancel_now(6)
+    gevent.spawn_later(rng.uniform(0.3, 1.5), for_a_while, world.state, "down", True, rng.uniform(51.0, 70.0), False)
+
+
 KINDS: list[Callable[[Several, random.Random], None]] = [
     refused, gap, outage, slow, late_writes, leader_crashes, leader_blinks, all_end, hand_over, alone, without_workers,
     freeze, zone_cut, deaf, hang, restart, copies, late_orders, storm,
+    zone_apart, lost_answers, kept_reports, close_looks, at_end, cancel_now, mute, odd_requests, all_away, ten_changes,
+    taken, cancelled_as_refused,
 ]  # fmt: skip
 PAIRS = list(itertools.combinations_with_replacement(range(len(KINDS)), 2))
 
@@ -179,9 +262,17 @@
         # jobs of a few tasks, which end far apart, and more of them than can run at once
         world.task_s = rng.choice([(3.0, 12.0), (5.0, 60.0), (30.0, 90.0)])
         world.crowd(rng.uniform(2.0, 5.0), 45.0)
+        if seed > FULL_ABOVE:
+            # every team is at its limit, of CPUs and of cards
+            for _ in range(6):
+                world.submit("red", 2, 2.0, cards=1.0)
+                world.submit("red", 4, 1.0)
+                world.submit("blue", 6, 2.0)
         for _ in range(4):
             world.submit("blue", rng.randint(2, 3), 2.0, shape="ensemble")
         if seed > BOUND_ABOVE:
+            world.submit("red", 5, 1.0, quay="a")
+            world.submit("blue", 3, 2.0, quay="b", shape="ensemble")
             for i in range(8):
                 bound: dict[str, Any] = {"samePlace": True} if i % 2 else {"scatter": True}
                 shape = "ensemble" if i % 4 == 3 else "array"
@@ -194,7 +285,9 @@
         order[1](world, rng)
         gevent.sleep(rng.uniform(20.0, 90.0))
         heal(world)
-        return world.settled(900.0)
+        found = world.settled(900.0)
+        # not a rule of the protocol, and counted: a cancellation that the leader could have known of
+        return found + [f"{t} started {s:.1f} s after its cancellation" for s, t in world.after_cancel if s > STARTED_S]
 
 
 def plays() -> list[tuple[int, int, int]]:
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -17,7 +17,7 @@
 from grebestand.books.fleet import Fleet
 from grebestand.books.machine import Machine
 from grebestand.doors.answer import Answer
-from grebestand.doors.users import UserDoor
+from grebestand.doors.users import Known, UserDoor
 from grebestand.leading.leadership import Leadership
 from grebestand.reports.reading import Reader
 from grebestand.standin.several import STATE, Several, Way
@@ -228,9 +228,14 @@
 
 
 def test_a_job_that_is_never_answered_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
-    poll = UserDoor.poll
+    poll, view = UserDoor.poll, UserDoor._view
     unlucky = Answer(503)
     monkeypatch.setattr(UserDoor, "poll", lambda self, ref: unlucky if ref == "j-000003" else poll(self, ref))
+
+    def shy(status: int, ref: str, known: Known) -> Answer:
+        return unlucky if (status, ref) == (200, "j-000003") else view(status, ref, known)
+
+    monkeypatch.setattr(UserDoor, "_view", staticmethod(shy))
     _, lost = played([(4.0, ("heal",))], 1)
     assert any(text.startswith("j-000003 unanswered") for text in lost)
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -1019,8 +1019,8 @@
     ident = world.accept(node)
     commands = term.answers.commands
 
-    def slow(m: Machine, r: Report, now: float) -> list[Command]:
-        out = commands(m, r, now)
+    def slow(m: Machine, r: Report, now: float, starts: bool = True) -> list[Command]:
+        out = commands(m, r, now, starts)
         world.clock.now += 30.0
         return out
 
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -16,9 +16,12 @@
     world.links.heal()
     world.state.down = False
     world.copies = world.late_writes = world.slow_s = world.late_orders = 0.0
+    world.lost_answers = world.kept = world.at_end = 0.0
+    world.kept_reports.clear()
+    world.close_looks = False
     world.eager = 1.0
     world.loop.frozen.clear()
     for name in world.controllers:
         back(world, name)
     for seat in world.machines.values():
-        seat.hung, seat.deaf_to = False, frozenset()
+        seat.hung, seat.mute, seat.deaf_to = False, False, frozenset()
