Users are answered in their time whatever their request meets

Cause: a submission or cancellation may take several requests, each with its own 1.5 s: found by the story of slow answers (tests/test_each_meeting.py), where a submission took 5.13 s and its user had gone after five. Change: all that is read for one answer shares a bound (4 s; polls 2 s) after which it is 503; a repeat that the controller knows is answered by one look.

--- a/src/grebestand/doors/users.py
+++ b/src/grebestand/doors/users.py
@@ -26,6 +26,9 @@
 
 #: what was asked for longer ago, in seconds, is not told as the present state; users do not wait for longer than this
 CURRENT_S = 2.0
+#: users wait for five seconds for anything else; what is read for them takes no longer than this, in seconds, and a
+#: single request no longer than the other
+ANSWER_S, REQUEST_S = 4.0, 1.5
 
 
 class CannotRun(ValueError):
@@ -98,11 +101,18 @@
 
     # shared -----------------------------------------------------------------------------------------------
 
-    def _final(self, ident: str, urgency: Urgency) -> OverRecord | None:
+    def _left(self, until: float) -> float:
+        """How long a request may take, in seconds."""
+        left = until - self.clock()
+        if left < 0.05:
+            raise StateError("it has taken too long already", maybe=False)
+        return min(REQUEST_S, left)
+
+    def _final(self, ident: str, urgency: Urgency, until: float) -> OverRecord | None:
         known = self.finals.get(ident)
         if known is not None:
             return known
-        found = self.state.get(over_key(ident), urgency)
+        found = self.state.get(over_key(ident), urgency, self._left(until))
         if found is None:
             return None
         record = msgspec.convert(found.value, OverRecord)
@@ -112,21 +122,21 @@
             self.on_cancelled(ident)
         return record
 
-    def _live(self, ident: str, urgency: Urgency) -> tuple[int, bool]:
+    def _live(self, ident: str, urgency: Urgency, until: float) -> tuple[int, bool]:
         """The version of its live record, 0 if there is none, and whether it may run elsewhere; a current read."""
         current = self.current
         if current is not None and urgency is Urgency.POLL:
             version = current.live(ident)
             if version:
                 return version, False  # who polls is not told where it runs
-        found = self.state.get(live_key(ident), urgency)
+        found = self.state.get(live_key(ident), urgency, self._left(until))
         if found is None:
             return 0, False
         if current is not None:
             current.learn(ident, found.version)
         return found.version, found.value.get("abroad") is not None
 
-    def _lookup(self, ident: str, urgency: Urgency) -> Known | None:
+    def _lookup(self, ident: str, urgency: Urgency, until: float) -> Known | None:
         """A job's state as of a moment after the question came, its counts, and its live record's version.
 
         The live record is read first: a job on its way out is then found in one of the two places.
@@ -134,7 +144,7 @@
         known = self.finals.get(ident)
         if known is None:
             asked = self.clock()
-            version, abroad = self._live(ident, urgency)
+            version, abroad = self._live(ident, urgency, until)
             if version:
                 if self.clock() - asked > CURRENT_S:
                     # this controller has stood still: what was so then may not be so now
@@ -142,7 +152,7 @@
                 done, running = self.counts(ident)
                 view = JobView.RUNNING if running else JobView.PENDING
                 return Known(view, done, running, version, abroad)
-            known = self._final(ident, urgency)
+            known = self._final(ident, urgency, until)
         return None if known is None else Known.of(known)
 
     @staticmethod
@@ -171,7 +181,7 @@
                     raise Refused(refusal)
             except (Malformed, CannotRun, Refused) as e:
                 # a repeat of an accepted job is known by its id, whatever else the body says
-                known = self._lookup(ident, Urgency.ACCEPT)
+                known = self._lookup(ident, Urgency.ACCEPT, self.clock() + ANSWER_S)
                 if known is not None:
                     return self._view(200, ident, known)
                 if isinstance(e, Refused):
@@ -189,12 +199,10 @@
         known = self.finals.get(ident)
         if known is not None:
             return self._view(200, ident, Known.of(known))
-        end = self.clock() + 3.0
+        until, end = self.clock() + ANSWER_S, self.clock() + 3.0
         if (self.current is not None and self.current.knows(ident)) or any(self.counts(ident)):
             # a transaction counts against the writes also where its conditions fail; a repeat is told by a read
-            found = self._lookup(ident, Urgency.ACCEPT)
-            if found is not None:
-                return self._view(200, ident, found)
+            return self._view(200, ident, self._there(ident, until))
         value = msgspec.Raw(record)
         while True:
             try:
@@ -202,7 +210,7 @@
                     [absent(live_key(ident)), absent(over_key(ident))],
                     [put(live_key(ident), value)],
                     Urgency.ACCEPT,
-                    timeout=min(1.5, max(0.3, end - self.clock())),
+                    timeout=min(REQUEST_S, max(0.3, end - self.clock())),
                 )
             except StateError as e:
                 # without an answer it may be in or not; asking again with the same conditions settles it
@@ -215,10 +223,14 @@
                 kind = spec.kind.name.lower()
                 log.info("accepted %s: %s of %d tasks of %s for %s", ident, kind, spec.tasks, spec.klass, spec.team)
                 return self._view(201, ident, Known(JobView.PENDING))
-            found = self._lookup(ident, Urgency.ACCEPT)
-            if found is None:
-                raise StateError("the job's record moved while it was read", maybe=True)
-            return self._view(200, ident, found)
+            return self._view(200, ident, self._there(ident, until))
+
+    def _there(self, ident: str, until: float) -> Known:
+        """What is known of a job that was accepted."""
+        found = self._lookup(ident, Urgency.ACCEPT, until)
+        if found is None:
+            raise StateError("the job's record moved while it was read", maybe=True)
+        return found
 
     def check_can_run(self, spec: JobSpec) -> None:
         team = self.teams.get(spec.team)
@@ -245,7 +257,7 @@
         if not JOB_ID.match(ident):
             return _error(400, "malformed job id")
         try:
-            known = self._lookup(ident, Urgency.POLL)
+            known = self._lookup(ident, Urgency.POLL, self.clock() + CURRENT_S)
         except StateError as e:
             log.debug("poll of %s not answered: %s", ident, e)
             return _error(503, "the state service cannot be reached", 1)
@@ -256,10 +268,10 @@
     def cancel(self, ident: str) -> Answer:
         if not JOB_ID.match(ident):
             return _error(400, "malformed job id")
-        end = self.clock() + 3.0
+        until, end = self.clock() + ANSWER_S, self.clock() + 3.0
         try:
             while True:
-                known = self._lookup(ident, Urgency.ACCEPT)
+                known = self._lookup(ident, Urgency.ACCEPT, until)
                 if known is None:
                     return _error(404, "no such job")
                 if known.state in (JobView.DONE, JobView.CANCELLED):
@@ -269,7 +281,9 @@
                     return _error(503, "another cluster runs it and is asked to end it", 2)
                 record = OverRecord(JobView.CANCELLED, known.done)
                 try:
-                    _, failed = self.state.commit(*ending(ident, known.version, record), Urgency.ACCEPT)
+                    _, failed = self.state.commit(
+                        *ending(ident, known.version, record), Urgency.ACCEPT, self._left(until)
+                    )
                 except StateError as e:
                     if not e.maybe or self.clock() > end:
                         raise
