One function says what a worker's list must not go on with

`Answers.unwanted` and the first loop of `commands` chose stops by rules that overlapped. Now one rule: what is of jobs that are over, and, where the report says how its machine is, what is not in its books as it is there. A stop is not written twice. No behaviour is meant to change but for members of a gang that is done and still listed: they are stopped.

--- a/src/grebestand/reports/answers.py
+++ b/src/grebestand/reports/answers.py
@@ -24,26 +24,23 @@
 
         Without `starts` nothing begins now; what is queued waits for the next report.
         """
-        out: list[Command] = []
+        out = self.unwanted(r, m)
+        stopped = {(c.task, c.attempt) for c in out}
         forgets: list[Command] = []
         for status in r.tasks:
-            known = m.places.get(status.task)
-            there = known is not None and known.attempt == status.attempt
-            if there and status.state is not TaskReport.EXITED:
+            if status.state is not TaskReport.EXITED:
                 continue
             try:
                 ident, index = split_task(status.task)
             except Malformed:
                 continue
-            if status.state is not TaskReport.EXITED:
-                # over, unknown, or a second copy: it must not stay
-                out.append(Command("stop", status.task, status.attempt, 0.0))
-            elif self._may_forget(self.ledger.jobs.get(ident), index, status):
+            if self._may_forget(self.ledger.jobs.get(ident), index, status):
                 forgets.append(Command("forget", status.task, status.attempt))
         for place in m.places.values() if m.leaving else ():
             if place.stop is not None:
                 # a repeat with the same grace changes nothing; only a grace of 0 cuts a save short
-                out.append(Command("stop", place.name, place.attempt, place.grace))
+                if (place.name, place.attempt) not in stopped:
+                    out.append(Command("stop", place.name, place.attempt, place.grace))
                 place.stop_sent_at = now
         # stops first, as this answer renews the lease of what they are for; what is forgotten may start again
         out = (out + forgets)[:MOST_COMMANDS]
@@ -68,19 +65,22 @@
                 out.append(Command("start", place.name, place.attempt))
         return out
 
-    def unwanted(self, r: Report) -> list[Command]:
-        """Stops of what a worker lists of jobs that are over; true whenever its report was written.
+    def unwanted(self, r: Report, m: Machine | None = None) -> list[Command]:
+        """Stops of what a worker lists and must not go on with.
 
-        Whatever an earlier leader may have started was live when this one read the records, or is over.
+        Of jobs that are over: true whenever the report was written, since whatever an earlier leader may have started
+        was live when this one read the records, or is over. Of a machine that is as its report says (`m`), also second
+        copies and other attempts: all that is not in its books as it is there.
         """
-        out = []
+        stops = []
         for status in r.tasks:
             if status.state is TaskReport.EXITED:
                 continue
-            job = self.ledger.jobs.get(status.task.rpartition("/")[0])
-            if job is None or job.state in (JobState.DONE, JobState.CANCELLED):
-                out.append(Command("stop", status.task, status.attempt, 0.0))
-        return out[:MOST_COMMANDS]
+            job, place = self.ledger.jobs.get(status.task.rpartition("/")[0]), m.places.get(status.task) if m else None
+            over = job is None or job.state in (JobState.DONE, JobState.CANCELLED)
+            if over or (m is not None and (place is None or place.attempt != status.attempt)):
+                stops.append(Command("stop", status.task, status.attempt, 0.0))
+        return stops[:MOST_COMMANDS]
 
     @staticmethod
     def _gang_fetches(job: Job) -> bool:
