--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -55,8 +55,30 @@
 late_orders = st.tuples(st.just("late orders"), st.floats(0.2, 1.0), st.floats(5.0, 40.0))
 #: the state service refuses whoever leads, and then, so long after, is down for all, for longer than `cancel_s` or less
 gaps = st.tuples(st.just("gap"), st.floats(0.2, 15.0), st.floats(10.0, 80.0), st.sampled_from((Way.REFUSED, Way.HELD)))
+#: writes carried out at once of which only the answer is lost; reports kept for the next leader, which begins so long
+#: after; close looks at all controllers; jobs called off at their end, or all at once while their machines hang
+lost_answers = st.tuples(st.just("lost answers"), st.floats(0.05, 0.6), st.floats(5.0, 40.0))
+kept = st.tuples(st.just("kept"), st.floats(3.0, 12.0), st.floats(1.0, 20.0))
+looks = st.tuples(st.just("looks"), st.floats(10.0, 60.0))
+at_end = st.tuples(st.just("at end"), st.floats(0.2, 1.0), st.floats(10.0, 60.0))
+cancels = st.tuples(st.just("cancels"), st.integers(1, 10), st.sampled_from((0.0, 8.0, 25.0, 55.0)))
+#: machines that open no connection to any controller; requests that cannot be; machines taken without a word; a zone
+#: with one controller apart
+muteness = st.tuples(st.just("mute"), st.integers(0, 11), st.integers(1, 12), st.floats(5.0, 45.0))
+odd = st.tuples(st.just("odd"), st.floats(5.0, 30.0))
+losses = st.tuples(st.just("taken"), st.integers(0, 11))
+zones = st.tuples(st.just("zone"), st.sampled_from(NODES), st.sampled_from("ab"), st.floats(5.0, 45.0))
 troubles = (
-    mistakes
+    lost_answers
+    | kept
+    | looks
+    | at_end
+    | cancels
+    | muteness
+    | odd
+    | losses
+    | zones
+    | mistakes
     | storms
     | cuts
     | crashes
@@ -138,6 +160,39 @@
                 gevent.spawn_later(gap + 10.0, world.links.set, name, STATE, Way.OPEN)
             gevent.spawn_later(gap, setattr, world.state, "down", True)
             gevent.spawn_later(gap + outage, setattr, world.state, "down", False)
+        case ("lost answers", float(part), float(seconds)):
+            world.lost_answers = part
+            gevent.spawn_later(seconds, setattr, world, "lost_answers", 0.0)
+        case ("kept", float(seconds), float(pause)):
+            world.kept = 0.6
+            gevent.spawn_later(seconds, setattr, world, "kept", 0.0)
+            for name in world.leading():
+                gevent.spawn_later(seconds + pause, do, world, ("crash", name, 1.0))
+        case ("looks", float(seconds)):
+            world.close_looks = True
+            gevent.spawn_later(seconds, setattr, world, "close_looks", False)
+        case ("at end", float(part), float(seconds)):
+            world.at_end = part
+            gevent.spawn_later(seconds, setattr, world, "at_end", 0.0)
+        case ("cancels", int(count), float(seconds)):
+            world.cancel_now(count, seconds)
+        case ("mute", int(first), int(count), float(seconds)):
+            for index in range(first, min(12, first + count)):
+                seat = world.machines[f"n-{index:06d}"]
+                seat.mute = True
+                gevent.spawn_later(seconds, setattr, seat, "mute", False)
+        case ("odd", float(seconds)):
+            world.odd_requests(world.loop.time + seconds)
+        case ("taken", int(index)):
+            name = f"n-{index:06d}"
+            if sum(not seat.dead for seat in world.machines.values()) > 6:
+                world.cloud.request("POST", "/machines/delete", msgspec.json.encode({"vessels": [name]}), 1.0)
+        case ("zone", str(inside), str(zone), float(seconds)):
+            outside = [n for n in NODES if n != inside]
+            pairs = [(inside, far) for far in (STATE, "b" if zone == "a" else "a", *outside)]
+            for near, far in pairs + [(name, zone) for name in outside]:
+                world.links.set(near, far, Way.HELD)
+                gevent.spawn_later(seconds, world.links.set, near, far, Way.OPEN)
         case ("alone", str(name), Way() as way):
             for far in (STATE, *(n for n in NODES if n != name)):
                 world.links.set(name, far, way)
