--- a/src/grebestand/standin/several.py
+++ b/src/grebestand/standin/cluster.py
@@ -138,7 +138,7 @@
 class Host:
     """The surroundings of one controller: a `Network` on simulated time."""
 
-    def __init__(self, world: Several, name: str, drift: float) -> None:
+    def __init__(self, world: SimulatedCluster, name: str, drift: float) -> None:
         self.world = world
         self.name = name
         self.drift = drift
@@ -191,7 +191,7 @@
 class Seat(WorkerModel):
     """A machine: its worker, and tasks that take a while."""
 
-    world: Several | None = None
+    world: SimulatedCluster | None = None
     node: int = 0
     answered_at: float = 0.0
     ends: dict[str, float] = field(default_factory=dict)
@@ -320,7 +320,7 @@
             gevent.sleep(world.report_s * world.rng.uniform(0.75, 1.25))
 
 
-class Several:
+class SimulatedCluster:
     """A cluster. Use it inside `simulated()`; `gevent.sleep` lets it run."""
 
     def __init__(
@@ -348,7 +348,7 @@
         #: how long machines take until they are up, and until they are listed, in seconds
         self.boot_s, self.listed_after_s = (0.2, 2.0), 8.0
         self._deleted: set[str] = set()
-        self.policy = policy.parse(rules, "several.toml", policy.default())
+        self.policy = policy.parse(rules, "cluster.toml", policy.default())
         self.born = 0
         self.names = {"127.0.0.1:3": CLOUD, "127.0.0.1:4": STATE}
         self.names |= {f"127.0.1.{i}:2": name for i, name in enumerate(self.controllers)}
--- a/tests/test_apart.py
+++ b/tests/test_apart.py
@@ -9,7 +9,7 @@
 
 from grebestand.books.fleet import Fleet
 from grebestand.doors.peers import PeerDoor
-from grebestand.standin.several import STATE, Several, Way
+from grebestand.standin.cluster import STATE, SimulatedCluster, Way
 from grebestand.standin.virtual import VirtualLoop, simulated
 from grebestand.states import LeaderState, Reception
 
@@ -20,15 +20,15 @@
         yield virtual
 
 
-def busy(loop: VirtualLoop, seed: int = 1, until_s: float = 60.0) -> Several:
+def busy(loop: VirtualLoop, seed: int = 1, until_s: float = 60.0) -> SimulatedCluster:
     """A cluster that has been at work for a while."""
-    world = Several(loop, seed=seed, machines=12)
+    world = SimulatedCluster(loop, seed=seed, machines=12)
     world.crowd(2.0, until_s)
     gevent.sleep(15)
     return world
 
 
-def all_over(world: Several, most_s: float = 240.0) -> None:
+def all_over(world: SimulatedCluster, most_s: float = 240.0) -> None:
     """Every accepted job is done, all stay known, and no rule was broken."""
     world.calm_at = world.loop.time
     gevent.sleep(most_s)
--- a/tests/test_away.py
+++ b/tests/test_away.py
@@ -24,11 +24,11 @@
 from grebestand.process.controller import Controller
 from grebestand.records.jobs import ending
 from grebestand.reports.reading import Reader
-from grebestand.standin.several import STATE, Several, Way
+from grebestand.standin.cluster import STATE, SimulatedCluster, Way
 from grebestand.standin.virtual import VirtualLoop, simulated
 from worlds import back, heal
 
-Story = Callable[[VirtualLoop, int], Several]
+Story = Callable[[VirtualLoop, int], SimulatedCluster]
 
 
 @pytest.fixture
@@ -37,9 +37,11 @@
         yield virtual
 
 
-def busy(loop: VirtualLoop, seed: int, task_s: tuple[float, float] = (5.0, 40.0), machines: int = 12) -> Several:
+def busy(
+    loop: VirtualLoop, seed: int, task_s: tuple[float, float] = (5.0, 40.0), machines: int = 12
+) -> SimulatedCluster:
     """Arrays and gangs of both teams, some of them bound to a zone, and users who call some off."""
-    world = Several(loop, seed=seed, machines=machines)
+    world = SimulatedCluster(loop, seed=seed, machines=machines)
     world.task_s, world.cancelling, world.close_looks = task_s, 0.3, True
     for i in range(12):
         kinds: list[dict[str, Any]] = [{}, {"shape": "ensemble"}, {"samePlace": True}, {"quay": "ab"[i % 2]}]
@@ -49,7 +51,7 @@
     return world
 
 
-def crash_leader(world: Several, seconds: float) -> None:
+def crash_leader(world: SimulatedCluster, seconds: float) -> None:
     for name in world.leading():
         world.crash(name)
         gevent.spawn_later(seconds, back, world, name)
@@ -58,7 +60,7 @@
 # reports arrive nowhere, direct commands do ------------------------------------------------------------------
 
 
-def mute_zone(loop: VirtualLoop, seed: int = 51) -> Several:
+def mute_zone(loop: VirtualLoop, seed: int = 51) -> SimulatedCluster:
     """The machines of one zone open no connection for 46 s, through a change of leader and cancellations."""
     world = busy(loop, seed)
     world.crowd(1.5, world.loop.time + 60.0)
@@ -119,9 +121,9 @@
 # jobs bound to one zone lose machines ------------------------------------------------------------------------
 
 
-def bound_lose_machines(loop: VirtualLoop, seed: int = 54) -> Several:
+def bound_lose_machines(loop: VirtualLoop, seed: int = 54) -> SimulatedCluster:
     """Gangs and arrays in one zone, whichever, or spread; machines go silently, hang, or are taken, leaders end."""
-    world = Several(loop, seed=seed, machines=14)
+    world = SimulatedCluster(loop, seed=seed, machines=14)
     world.task_s = (20.0, 60.0)
     for i in range(20):
         kinds: list[dict[str, Any]] = [{"samePlace": True}, {"scatter": True}, {"quay": "a"}]
@@ -151,7 +153,7 @@
 # a report is held back until a new leader has acted ----------------------------------------------------------
 
 
-def held_until_another_acts(loop: VirtualLoop, seed: int = 55) -> Several:
+def held_until_another_acts(loop: VirtualLoop, seed: int = 55) -> SimulatedCluster:
     """Reports to the old leader, and copies to all, come after the new one has stopped, started and deleted."""
     world = busy(loop, seed)
     world.crowd(2.0, world.loop.time + 50.0)
@@ -179,7 +181,7 @@
 # all away for longer than a lease ----------------------------------------------------------------------------
 
 
-def all_away(loop: VirtualLoop, seed: int = 56, leases: float = 1.6) -> Several:
+def all_away(loop: VirtualLoop, seed: int = 56, leases: float = 1.6) -> SimulatedCluster:
     """Jobs are called off just before; meanwhile machines go and come back, and users go on."""
     world = busy(loop, seed, task_s=(30.0, 60.0))
     world.cancel_now(8, hang_s=10.0)
@@ -205,8 +207,8 @@
 # more work than room, urgent and not, over slow links --------------------------------------------------------
 
 
-def more_work_than_room(loop: VirtualLoop, seed: int = 57) -> Several:
-    world = Several(loop, seed=seed, machines=4)
+def more_work_than_room(loop: VirtualLoop, seed: int = 57) -> SimulatedCluster:
+    world = SimulatedCluster(loop, seed=seed, machines=4)
     world.task_s = (8.0, 20.0)
     for name in world.controllers:
         for far in ("a", "b", STATE, *(n for n in world.controllers if n != name)):
@@ -247,7 +249,7 @@
 # leaders change ten times in two minutes, also inside an outage ----------------------------------------------
 
 
-def ten_changes(loop: VirtualLoop, seed: int = 58, outage: bool = False) -> Several:
+def ten_changes(loop: VirtualLoop, seed: int = 58, outage: bool = False) -> SimulatedCluster:
     world = busy(loop, seed, task_s=(10.0, 50.0))
     world.crowd(2.0, world.loop.time + 120.0)
     for i in range(10):
@@ -281,8 +283,8 @@
 
 def called_off_as_they_end(
     loop: VirtualLoop, seed: int = 59, trouble: str = "none", late_writes: float = 0.3
-) -> Several:
-    world = Several(loop, seed=seed, machines=8)
+) -> SimulatedCluster:
+    world = SimulatedCluster(loop, seed=seed, machines=8)
     world.task_s, world.at_end, world.close_looks = (2.0, 8.0), 1.0, True
     if trouble == "late writes":
         world.late_writes = late_writes
@@ -301,7 +303,7 @@
     return world
 
 
-def called_off_as_they_end_late(loop: VirtualLoop, seed: int) -> Several:
+def called_off_as_they_end_late(loop: VirtualLoop, seed: int) -> SimulatedCluster:
     return called_off_as_they_end(loop, seed, "late writes", 0.5)
 
 
@@ -318,7 +320,7 @@
 
 def called_off_as_the_leader_is_refused(
     loop: VirtualLoop, seed: int = 60, way: Way = Way.REFUSED, writes: str = ""
-) -> Several:
+) -> SimulatedCluster:
     """A second later nobody is served, for longer than `cancel_s`; the commits themselves lie at the edge."""
     world = busy(loop, seed, task_s=(80.0, 120.0))
     (first,) = world.leading()
@@ -344,7 +346,7 @@
 # a zone with workers and a controller ------------------------------------------------------------------------
 
 
-def zone_apart(loop: VirtualLoop, seed: int = 61, leads: bool = True, other: bool = False) -> Several:
+def zone_apart(loop: VirtualLoop, seed: int = 61, leads: bool = True, other: bool = False) -> SimulatedCluster:
     """Cut off for longer than a lease, with cancellations and ends on both sides; all reports come at once after it."""
     world = busy(loop, seed)
     world.crowd(2.0, world.loop.time + 50.0)
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -16,8 +16,8 @@
 from grebestand.process.handover import HEARD_S
 from grebestand.reach.links import Link
 from grebestand.reach.relay import DOWN_AFTER_S, MOST_RELAYED, PATH, WATCH_MS, RelayDoor, RelayedStore
+from grebestand.standin.cluster import STATE, SimulatedCluster, Way
 from grebestand.standin.memory import Clock, Node, World
-from grebestand.standin.several import STATE, Several, Way
 from grebestand.standin.virtual import VirtualLoop, simulated
 from grebestand.states import IllegalStep, LeaderState, LinkState
 from grebestand.wire.peers import Hello, Relayed, RelayedAnswer, Resigned
@@ -97,7 +97,7 @@
 
 def test_what_stood_still_does_not_count_its_own_sleep_as_others_silence(loop: VirtualLoop) -> None:
     """A leader that stood still for 25 s would have given way for reports that lay unread at its door."""
-    world = Several(loop)
+    world = SimulatedCluster(loop)
     gevent.sleep(10)
     node = world.nodes[world.leading()[0]]
     assert node is not None
@@ -209,7 +209,7 @@
     assert node.leadership.authority_until < sent + node.leadership.ttl_s
 
 
-def play(world: Several, cut: list[tuple[str, str]], way: Way, seconds: float) -> None:
+def play(world: SimulatedCluster, cut: list[tuple[str, str]], way: Way, seconds: float) -> None:
     for a, b in cut:
         world.links.set(a, b, way)
     gevent.sleep(seconds)
@@ -219,13 +219,13 @@
     return [(name, "a"), (name, "b")]
 
 
-def everybody_else(world: Several, name: str) -> list[str]:
+def everybody_else(world: SimulatedCluster, name: str) -> list[str]:
     return [n for n in world.controllers if n != name]
 
 
 @pytest.mark.parametrize("way", [Way.REFUSED, Way.HELD, Way.ASKS_LOST, Way.ANSWERS_LOST])
 def test_a_leader_without_the_state_service_goes_on_over_another(loop: VirtualLoop, way: Way) -> None:
-    world = Several(loop, seed=3)
+    world = SimulatedCluster(loop, seed=3)
     world.crowd(1.0, 90.0)
     gevent.sleep(20)
     (leader,) = world.leading()
@@ -238,7 +238,7 @@
 
 
 def test_users_of_a_controller_without_the_state_service_are_served_over_another(loop: VirtualLoop) -> None:
-    world = Several(loop, seed=4)
+    world = SimulatedCluster(loop, seed=4)
     gevent.sleep(20)
     other = everybody_else(world, world.leading()[0])[0]
     play(world, [(other, STATE)], Way.HELD, 5)
@@ -251,7 +251,7 @@
 @pytest.mark.parametrize("apart", [False, True])
 def test_a_leader_without_workers_gives_way_whether_or_not_others_can_be_heard(loop: VirtualLoop, apart: bool) -> None:
     """It kept the lead for 33 s while no peer answered, though it reached the state service all the time."""
-    world = Several(loop, seed=5)
+    world = SimulatedCluster(loop, seed=5)
     world.crowd(1.0, 70.0)
     gevent.sleep(20)
     (leader,) = world.leading()
@@ -265,7 +265,7 @@
 
 def test_one_that_no_worker_reaches_does_not_take_the_key_before_one_that_is_reached(loop: VirtualLoop) -> None:
     """The lead went from one controller without workers to another, ten seconds each."""
-    world = Several(loop, seed=6)
+    world = SimulatedCluster(loop, seed=6)
     world.crowd(1.0, 80.0)
     gevent.sleep(20)
     (leader,) = world.leading()
@@ -277,7 +277,7 @@
 
 def test_together_they_have_every_link_that_is_needed(loop: VirtualLoop) -> None:
     """One reaches the workers and not the state service, two the other way round: nothing ran."""
-    world = Several(loop, seed=7)
+    world = SimulatedCluster(loop, seed=7)
     world.crowd(1.0, 90.0)
     gevent.sleep(20)
     (leader,) = world.leading()
@@ -288,7 +288,7 @@
 
 
 def test_nobody_gives_way_and_nothing_is_relayed_in_an_outage_of_all(loop: VirtualLoop) -> None:
-    world = Several(loop, seed=8)
+    world = SimulatedCluster(loop, seed=8)
     world.crowd(1.0, 60.0)
     gevent.sleep(20)
     relayed = [n.store.relayed for n in world.nodes.values() if n is not None]
@@ -302,7 +302,7 @@
 
 
 def test_one_that_gave_way_leads_again_if_nobody_else_does(loop: VirtualLoop) -> None:
-    world = Several(loop, seed=9, controllers=2)
+    world = SimulatedCluster(loop, seed=9, controllers=2)
     gevent.sleep(20)
     (leader,) = world.leading()
     (other,) = everybody_else(world, leader)
@@ -345,7 +345,7 @@
 def test_the_same_seed_gives_the_same_world_to_the_byte() -> None:
     def history() -> str:
         with simulated() as loop:
-            world = Several(loop, seed=11)
+            world = SimulatedCluster(loop, seed=11)
             world.crowd(1.5, 30.0)
             gevent.sleep(15)
             play(world, [(world.leading()[0], STATE)], Way.HELD, 15)
--- a/tests/test_each_meeting.py
+++ b/tests/test_each_meeting.py
@@ -19,8 +19,8 @@
 from grebestand.outside.state import StateError, absent, put
 from grebestand.records.jobs import OverRecord, ending
 from grebestand.reports.answers import Answers
+from grebestand.standin.cluster import STATE, SimulatedCluster, Way
 from grebestand.standin.memory import Node, World
-from grebestand.standin.several import STATE, Several, Way
 from grebestand.standin.virtual import VirtualLoop, simulated
 from grebestand.states import JobState, Reception
 from grebestand.wire.jobs import JobView
@@ -34,9 +34,9 @@
         yield virtual
 
 
-def at_work(loop: VirtualLoop, seed: int, task_s: tuple[float, float] = (20.0, 90.0)) -> Several:
+def at_work(loop: VirtualLoop, seed: int, task_s: tuple[float, float] = (20.0, 90.0)) -> SimulatedCluster:
     """Jobs of two or three tasks that end far apart, some of them gangs."""
-    world = Several(loop, seed=seed, machines=12)
+    world = SimulatedCluster(loop, seed=seed, machines=12)
     world.task_s = task_s
     for i in range(16):
         shape = "ensemble" if i % 4 == 3 else "array"
@@ -46,7 +46,7 @@
     return world
 
 
-def cancel_all(world: Several, every: int = 2) -> None:
+def cancel_all(world: SimulatedCluster, every: int = 2) -> None:
     for i, job in enumerate(world.jobs.values()):
         if i % every == 0 and not job.over:
             job.cancel_at = min(job.cancel_at, world.loop.time)
@@ -105,7 +105,7 @@
 # 2. a slow state service, refusal, an outage, while users cancel and ask ------------------------------------
 
 
-def asked(world: Several, monkeypatch: pytest.MonkeyPatch) -> list[tuple[str, float, int]]:
+def asked(world: SimulatedCluster, monkeypatch: pytest.MonkeyPatch) -> list[tuple[str, float, int]]:
     """What users asked, how long it took, and the status."""
     seen: list[tuple[str, float, int]] = []
     for what in ("submit", "poll", "cancel"):
--- a/tests/test_gaps.py
+++ b/tests/test_gaps.py
@@ -17,8 +17,8 @@
 from grebestand.outside.state import StateError
 from grebestand.process.controller import Controller
 from grebestand.settings.platform import Workers
+from grebestand.standin.cluster import STATE, SimulatedCluster, Way
 from grebestand.standin.memory import Clock, Node, World
-from grebestand.standin.several import STATE, Several, Way
 from grebestand.standin.virtual import VirtualLoop, simulated
 from grebestand.states import JobState
 from grebestand.wire.store import Event, Events
@@ -31,9 +31,9 @@
         yield virtual
 
 
-def at_work(loop: VirtualLoop, seed: int, task_s: float = 150.0) -> Several:
+def at_work(loop: VirtualLoop, seed: int, task_s: float = 150.0) -> SimulatedCluster:
     """A cluster with long tasks, whose users cancel most of their jobs through any controller."""
-    world = Several(loop, seed=seed, machines=12)
+    world = SimulatedCluster(loop, seed=seed, machines=12)
     world.task_s = (0.8 * task_s, 1.2 * task_s)
     for _ in range(24):
         world.submit(world.rng.choice(["red", "blue"]), world.rng.randint(1, 4), 1.0)
@@ -42,13 +42,13 @@
     return world
 
 
-def cancel_some(world: Several, share: float = 0.7) -> None:
+def cancel_some(world: SimulatedCluster, share: float = 0.7) -> None:
     for job in world.jobs.values():
         if not job.over and world.luck.random() < share:
             job.cancel_at = min(job.cancel_at, world.loop.time)
 
 
-def gap(world: Several, way: Way, gap_s: float, outage_s: float, refused_s: float = 14.0) -> None:
+def gap(world: SimulatedCluster, way: Way, gap_s: float, outage_s: float, refused_s: float = 14.0) -> None:
     """The leader alone is cut from the state service; users cancel elsewhere; then nobody is served."""
     (first,) = world.leading()
     world.links.set(first, STATE, way)
@@ -125,7 +125,7 @@
 
 def back_after_an_outage(loop: VirtualLoop) -> list[str]:
     """The leader keeps its key through refusal and outage, and has work that waits."""
-    world = Several(loop, seed=1, machines=48)
+    world = SimulatedCluster(loop, seed=1, machines=48)
     world.task_s = (100.0, 160.0)
     for _ in range(60):
         world.submit(world.rng.choice(["red", "blue"]), world.rng.randint(1, 6), 1.0)
@@ -202,7 +202,7 @@
     assert world.settled(400.0) == []
 
 
-def inside(world: Several, first: str, what: str) -> None:
+def inside(world: SimulatedCluster, first: str, what: str) -> None:
     some = [world.machines[f"n-{i:06d}"] for i in range(6)]
     if what in ("crash", "back at once"):
         world.crash(first)
@@ -219,7 +219,7 @@
 
 @pytest.mark.parametrize("shape", ["array", "ensemble"])
 def test_the_cancelled_jobs_are_queued_or_gangs(loop: VirtualLoop, shape: str) -> None:
-    world = Several(loop, seed=7, machines=12)
+    world = SimulatedCluster(loop, seed=7, machines=12)
     world.task_s = (60.0, 90.0)
     for _ in range(40):
         world.submit("red", world.rng.randint(2, 8), 1.0, shape=shape)
@@ -373,7 +373,7 @@
     loop: VirtualLoop, monkeypatch: pytest.MonkeyPatch, cancels: bool, tide: str, found: str
 ) -> None:
     """Broken on purpose: every poll is answered the same."""
-    world = Several(loop, seed=2, machines=4)
+    world = SimulatedCluster(loop, seed=2, machines=4)
     world.task_s = (60.0, 90.0)
     ref = world.submit("blue", 3)
     gevent.sleep(10)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -20,8 +20,8 @@
 from grebestand.decisions.placing import Placing
 from grebestand.leading.term import Term
 from grebestand.reports.reading import Reader
+from grebestand.standin.cluster import STATE, SimulatedCluster, Way
 from grebestand.standin.memory import Node, World
-from grebestand.standin.several import STATE, Several, Way
 from grebestand.standin.virtual import simulated
 from grebestand.wire.workers import TaskReport, TaskStatus
 from worlds import back, heal
@@ -35,13 +35,13 @@
 FULL_ABOVE = 16
 
 
-def leader(world: Several) -> str:
+def leader(world: SimulatedCluster) -> str:
     """Who leads, or led last."""
     led = world.leading() or [n for _, n, _ in world.leaders[-1:]] or world.controllers[:1]
     return led[0]
 
 
-def some(world: Several, rng: random.Random) -> list[str]:
+def some(world: SimulatedCluster, rng: random.Random) -> list[str]:
     return rng.sample(sorted(world.machines), rng.randint(2, MACHINES))
 
 
@@ -51,17 +51,17 @@
     gevent.spawn_later(seconds, setattr, what, field, after)
 
 
-def cut(world: Several, near: str, far: list[str], way: Way, seconds: float) -> None:
+def cut(world: SimulatedCluster, near: str, far: list[str], way: Way, seconds: float) -> None:
     for end in far:
         world.links.set(near, end, way)
         gevent.spawn_later(seconds, world.links.set, near, end, Way.OPEN)
 
 
-def others(world: Several, name: str) -> list[str]:
+def others(world: SimulatedCluster, name: str) -> list[str]:
     return [n for n in world.controllers if n != name]
 
 
-def crash(world: Several, names: list[str], seconds: float) -> None:
+def crash(world: SimulatedCluster, names: list[str], seconds: float) -> None:
     for name in names:
         world.crash(name)
         gevent.spawn_later(seconds, back, world, name)
@@ -71,74 +71,74 @@
     return rng.choice([Way.REFUSED, Way.HELD])
 
 
-def refused(world: Several, rng: random.Random) -> None:
+def refused(world: SimulatedCluster, rng: random.Random) -> None:
     cut(world, leader(world), [STATE], way(rng), rng.uniform(4.0, 30.0))
 
 
-def gap(world: Several, rng: random.Random) -> None:
+def gap(world: SimulatedCluster, rng: random.Random) -> None:
     cut(world, leader(world), [STATE], way(rng), rng.uniform(4.0, 20.0))
     gevent.spawn_later(rng.uniform(0.2, 6.0), outage, world, rng)
 
 
-def outage(world: Several, rng: random.Random) -> None:
+def outage(world: SimulatedCluster, rng: random.Random) -> None:
     for_a_while(world.state, "down", True, rng.uniform(5.0, 70.0), False)
 
 
-def slow(world: Several, rng: random.Random) -> None:
+def slow(world: SimulatedCluster, rng: random.Random) -> None:
     for_a_while(world, "slow_s", rng.uniform(0.3, 2.5), rng.uniform(5.0, 40.0))
 
 
-def late_writes(world: Several, rng: random.Random) -> None:
+def late_writes(world: SimulatedCluster, rng: random.Random) -> None:
     for_a_while(world, "late_writes", rng.uniform(0.1, 0.7), rng.uniform(5.0, 40.0))
 
 
-def leader_crashes(world: Several, rng: random.Random) -> None:
+def leader_crashes(world: SimulatedCluster, rng: random.Random) -> None:
     crash(world, [leader(world)], rng.uniform(0.05, 12.0))
 
 
-def leader_blinks(world: Several, rng: random.Random) -> None:
+def leader_blinks(world: SimulatedCluster, rng: random.Random) -> None:
     for pause in (0.0, rng.uniform(0.5, 6.0)):
         gevent.spawn_later(pause, crash, world, [leader(world)], rng.uniform(0.02, 0.4))
 
 
-def all_end(world: Several, rng: random.Random) -> None:
+def all_end(world: SimulatedCluster, rng: random.Random) -> None:
     crash(world, world.controllers, rng.uniform(0.1, 15.0))
 
 
-def hand_over(world: Several, rng: random.Random) -> None:
+def hand_over(world: SimulatedCluster, rng: random.Random) -> None:
     """There and back: whoever leads gives way, to an heir that may be gone."""
     for pause in (0.0, rng.uniform(1.0, 8.0)):
         gevent.spawn_later(pause, give_way, world, rng)
 
 
-def give_way(world: Several, rng: random.Random) -> None:
+def give_way(world: SimulatedCluster, rng: random.Random) -> None:
     for name in world.leading():
         node = world.nodes[name]
         if node is not None:
             gevent.spawn(node.handover._give_way, "played", rng.choice(others(world, name)))
 
 
-def alone(world: Several, rng: random.Random) -> None:
+def alone(world: SimulatedCluster, rng: random.Random) -> None:
     name = leader(world)
     cut(world, name, [STATE, *others(world, name)], way(rng), rng.uniform(5.0, 45.0))
 
 
-def without_workers(world: Several, rng: random.Random) -> None:
+def without_workers(world: SimulatedCluster, rng: random.Random) -> None:
     cut(world, leader(world), ["a", "b"], way(rng), rng.uniform(4.0, 30.0))
 
 
-def freeze(world: Several, rng: random.Random) -> None:
+def freeze(world: SimulatedCluster, rng: random.Random) -> None:
     world.freeze(leader(world), rng.uniform(1.0, 45.0))
 
 
-def zone_cut(world: Several, rng: random.Random) -> None:
+def zone_cut(world: SimulatedCluster, rng: random.Random) -> None:
     """One zone's machines, from all controllers."""
     zone, seconds = rng.choice("ab"), rng.uniform(5.0, 60.0)
     for name in world.controllers:
         cut(world, name, [zone], Way.HELD, seconds)
 
 
-def deaf(world: Several, rng: random.Random) -> None:
+def deaf(world: SimulatedCluster, rng: random.Random) -> None:
     """To all, or to the next leaders and not to this one, or to this one alone."""
     now = leader(world)
     to = rng.choice([world.controllers, others(world, now), [now]])
@@ -147,31 +147,31 @@
         for_a_while(world.machines[name], "deaf_to", frozenset(to), seconds, frozenset())
 
 
-def hang(world: Several, rng: random.Random) -> None:
+def hang(world: SimulatedCluster, rng: random.Random) -> None:
     seconds = rng.uniform(2.0, 40.0)
     for name in some(world, rng):
         for_a_while(world.machines[name], "hung", True, seconds, False)
 
 
-def restart(world: Several, rng: random.Random) -> None:
+def restart(world: SimulatedCluster, rng: random.Random) -> None:
     anew = rng.random() < 0.5
     for name in some(world, rng)[:4]:
         world.machines[name].restart(anew)
 
 
-def copies(world: Several, rng: random.Random) -> None:
+def copies(world: SimulatedCluster, rng: random.Random) -> None:
     for_a_while(world, "copies", rng.uniform(0.1, 0.5), rng.uniform(5.0, 40.0))
 
 
-def late_orders(world: Several, rng: random.Random) -> None:
+def late_orders(world: SimulatedCluster, rng: random.Random) -> None:
     for_a_while(world, "late_orders", rng.uniform(0.3, 1.0), rng.uniform(5.0, 40.0))
 
 
-def storm(world: Several, rng: random.Random) -> None:
+def storm(world: SimulatedCluster, rng: random.Random) -> None:
     for_a_while(world, "eager", 10.0, rng.uniform(3.0, 15.0), 1.0)
 
 
-def zone_apart(world: Several, rng: random.Random) -> None:
+def zone_apart(world: SimulatedCluster, rng: random.Random) -> None:
     """One zone's machines with one controller, from the other controllers and from all that is outside."""
     zone, seconds = rng.choice("ab"), rng.uniform(5.0, 60.0)
     inside = rng.choice([leader(world), *world.controllers])
@@ -180,30 +180,30 @@
         cut(world, name, [zone], Way.HELD, seconds)
 
 
-def lost_answers(world: Several, rng: random.Random) -> None:
+def lost_answers(world: SimulatedCluster, rng: random.Random) -> None:
     for_a_while(world, "lost_answers", rng.uniform(0.1, 0.7), rng.uniform(5.0, 40.0))
 
 
-def kept_reports(world: Several, rng: random.Random) -> None:
+def kept_reports(world: SimulatedCluster, rng: random.Random) -> None:
     """Kept for the next leader, which begins some time later; machines have gone on, or are gone, by then."""
     for_a_while(world, "kept", 0.6, rng.uniform(3.0, 12.0))
     for pause in (rng.uniform(3.0, 12.0), rng.uniform(14.0, 40.0)):
         gevent.spawn_later(pause, crash, world, [leader(world)], rng.uniform(0.1, 6.0))
 
 
-def close_looks(world: Several, rng: random.Random) -> None:
+def close_looks(world: SimulatedCluster, rng: random.Random) -> None:
     for_a_while(world, "close_looks", True, rng.uniform(10.0, 60.0), False)
 
 
-def at_end(world: Several, rng: random.Random) -> None:
+def at_end(world: SimulatedCluster, rng: random.Random) -> None:
     for_a_while(world, "at_end", rng.uniform(0.3, 1.0), rng.uniform(10.0, 60.0))
 
 
-def cancel_now(world: Several, rng: random.Random) -> None:
+def cancel_now(world: SimulatedCluster, rng: random.Random) -> None:
     world.cancel_now(rng.randint(2, 8), rng.choice([0.0, rng.uniform(5.0, 60.0)]))
 
 
-def mute(world: Several, rng: random.Random) -> None:
+def mute(world: SimulatedCluster, rng: random.Random) -> None:
     """They reach no controller, while direct commands reach them: some machines, a zone, or all."""
     names = rng.choice([some(world, rng), sorted(world.machines)[::2], sorted(world.machines)])
     seconds = rng.uniform(5.0, 60.0)
@@ -211,40 +211,40 @@
         for_a_while(world.machines[name], "mute", True, seconds, False)
 
 
-def odd_requests(world: Several, rng: random.Random) -> None:
+def odd_requests(world: SimulatedCluster, rng: random.Random) -> None:
     world.odd_requests(world.loop.time + rng.uniform(5.0, 40.0))
 
 
-def all_away(world: Several, rng: random.Random) -> None:
+def all_away(world: SimulatedCluster, rng: random.Random) -> None:
     """All controllers, for longer than the workers' lease."""
     crash(world, world.controllers, rng.uniform(1.05, 2.5) * world.lease_s)
 
 
-def ten_changes(world: Several, rng: random.Random) -> None:
+def ten_changes(world: SimulatedCluster, rng: random.Random) -> None:
     """The leader ends or gives way again and again."""
     for i in range(10):
         gevent.spawn_later(i * rng.uniform(6.0, 12.0), changes_once, world, rng)
 
 
-def changes_once(world: Several, rng: random.Random) -> None:
+def changes_once(world: SimulatedCluster, rng: random.Random) -> None:
     if world.calm_at == math.inf:
         crash(world, [leader(world)], rng.uniform(0.1, 5.0)) if rng.random() < 0.5 else give_way(world, rng)
 
 
-def taken(world: Several, rng: random.Random) -> None:
+def taken(world: SimulatedCluster, rng: random.Random) -> None:
     """Machines are taken away without notice, and their names come no more."""
     for name in rng.sample(sorted(world.machines), 3):
         world.cloud.request("POST", "/machines/delete", msgspec.json.encode({"vessels": [name]}), 1.0)
 
 
-def cancelled_as_refused(world: Several, rng: random.Random) -> None:
+def cancelled_as_refused(world: SimulatedCluster, rng: random.Random) -> None:
     """Called off at the very moment at which the leader alone is refused; then it is out for all for longer."""
     cut(world, leader(world), [STATE], way(rng), rng.uniform(4.0, 20.0))
     world.cancel_now(6)
     gevent.spawn_later(rng.uniform(0.3, 1.5), for_a_while, world.state, "down", True, rng.uniform(51.0, 70.0), False)
 
 
-KINDS: list[Callable[[Several, random.Random], None]] = [
+KINDS: list[Callable[[SimulatedCluster, random.Random], None]] = [
     refused, gap, outage, slow, late_writes, leader_crashes, leader_blinks, all_end, hand_over, alone, without_workers,
     freeze, zone_cut, deaf, hang, restart, copies, late_orders, storm,
     zone_apart, lost_answers, kept_reports, close_looks, at_end, cancel_now, mute, odd_requests, all_away, ten_changes,
@@ -257,7 +257,7 @@
     """What came of it when two kinds of trouble met: rules that were broken, jobs that were lost."""
     rng = random.Random(f"{first} {second} {seed}")
     with simulated() as loop:
-        world = Several(loop, seed=seed, controllers=3 if seed % 2 else 5, machines=MACHINES)
+        world = SimulatedCluster(loop, seed=seed, controllers=3 if seed % 2 else 5, machines=MACHINES)
         world.cancelling = 0.4
         # jobs of a few tasks, which end far apart, and more of them than can run at once
         world.task_s = rng.choice([(3.0, 12.0), (5.0, 60.0), (30.0, 90.0)])
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -20,7 +20,7 @@
 from grebestand.doors.users import Known, UserDoor
 from grebestand.leading.leadership import Leadership
 from grebestand.reports.reading import Reader
-from grebestand.standin.several import STATE, Several, Way
+from grebestand.standin.cluster import STATE, SimulatedCluster, Way
 from grebestand.standin.virtual import simulated
 from grebestand.wire.workers import Report
 from worlds import back, heal
@@ -108,7 +108,7 @@
 )
 
 
-def do(world: Several, event: tuple[object, ...]) -> None:
+def do(world: SimulatedCluster, event: tuple[object, ...]) -> None:
     match event:
         case ("cut", str(near), str(far), Way() as way) if near != far:
             world.links.set(near, far, way)
@@ -203,7 +203,7 @@
 ) -> tuple[list[str], list[str]]:
     """What was broken while a schedule ran, and accepted jobs that were not done long after it was over."""
     with simulated() as loop:
-        world = Several(loop, seed=seed, machines=12)
+        world = SimulatedCluster(loop, seed=seed, machines=12)
         world.task_s = (3.0, longest_s)
         world.cancelling = 0.3
         world.crowd(4.0, 30.0 + sum(pause for pause, _ in schedule))
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -23,8 +23,8 @@
 from grebestand.records.jobs import OverRecord
 from grebestand.records.leader import GrantRecord
 from grebestand.reports.reading import Reader
+from grebestand.standin.cluster import STATE, SimulatedCluster, Way
 from grebestand.standin.memory import Node, World
-from grebestand.standin.several import STATE, Several, Way
 from grebestand.standin.virtual import VirtualLoop, simulated
 from grebestand.wire.jobs import JobView
 from worlds import back, heal
@@ -36,7 +36,7 @@
         yield virtual
 
 
-def change(world: Several, how: str) -> None:
+def change(world: SimulatedCluster, how: str) -> None:
     """Another leader, or the same one under another token."""
     for name in world.leading():
         node = world.nodes[name]
@@ -54,9 +54,9 @@
 # 1. many askers at all controllers, within milliseconds -----------------------------------------------------
 
 
-def asked_from_all_sides(loop: VirtualLoop, seed: int, trouble: str) -> Several:
+def asked_from_all_sides(loop: VirtualLoop, seed: int, trouble: str) -> SimulatedCluster:
     """Users look at all controllers right after each acceptance, end and cancellation, repeat themselves and cancel."""
-    world = Several(loop, seed=seed, machines=8)
+    world = SimulatedCluster(loop, seed=seed, machines=8)
     world.close_looks, world.cancelling, world.at_end = True, 0.4, 0.3
     world.task_s = (2.0, 9.0)
     world.crowd(1.0, 45.0)
@@ -129,7 +129,7 @@
 
 @pytest.mark.parametrize("how", CHANGES)
 def test_only_answers_are_lost_while_others_read_what_was_written(loop: VirtualLoop, how: str) -> None:
-    world = Several(loop, seed=32, machines=10)
+    world = SimulatedCluster(loop, seed=32, machines=10)
     world.close_looks, world.cancelling, world.at_end, world.lost_answers = True, 0.4, 0.2, 0.5
     world.task_s = (3.0, 20.0)
     world.crowd(1.5, 60.0)
@@ -143,9 +143,9 @@
 # 3. every team at its limit ---------------------------------------------------------------------------------
 
 
-def full_teams(loop: VirtualLoop, seed: int) -> Several:
+def full_teams(loop: VirtualLoop, seed: int) -> SimulatedCluster:
     """Both teams at their limits, of CPUs and of cards, with more that waits; tasks that run for long."""
-    world = Several(loop, seed=seed, machines=10)
+    world = SimulatedCluster(loop, seed=seed, machines=10)
     world.task_s = (60.0, 120.0)
     for _ in range(10):
         world.submit("red", 2, 2.0, cards=1.0)
@@ -219,7 +219,7 @@
 @pytest.mark.parametrize("how", CHANGES)
 def test_cancelled_while_the_work_changes_hands(loop: VirtualLoop, how: str, twice: bool) -> None:
     """Before, in and after it, fifty milliseconds apart; also what is accepted and called off within that time."""
-    world = Several(loop, seed=34, machines=10)
+    world = SimulatedCluster(loop, seed=34, machines=10)
     world.close_looks = True
     world.task_s = (30.0, 60.0)
     for _ in range(60):
@@ -248,7 +248,7 @@
 @pytest.mark.parametrize("lag", ["late", "lost", "slow"])
 @pytest.mark.parametrize("how", CHANGES)
 def test_new_machines_get_work_at_once_while_writes_lag(loop: VirtualLoop, how: str, lag: str) -> None:
-    world = Several(loop, seed=35, machines=2, rules="idle_return_s = 15\nkeep_empty = 0\n")
+    world = SimulatedCluster(loop, seed=35, machines=2, rules="idle_return_s = 15\nkeep_empty = 0\n")
     world.task_s = (5.0, 30.0)
     world.boot_s = (0.05, 1.5)
     world.crowd(2.0, 60.0)
@@ -269,9 +269,9 @@
 # 6. old reports reach every controller just as a new leader begins -------------------------------------------
 
 
-def old_reports_at_a_new_leader(loop: VirtualLoop, seed: int, how: str) -> Several:
+def old_reports_at_a_new_leader(loop: VirtualLoop, seed: int, how: str) -> SimulatedCluster:
     """From before the last term, an earlier session or attempt, a machine deleted since, one that lapsed."""
-    world = Several(loop, seed=seed, machines=10)
+    world = SimulatedCluster(loop, seed=seed, machines=10)
     world.task_s = (4.0, 20.0)
     world.kept, world.cancelling = 0.5, 0.3
     world.crowd(1.5, 70.0)
@@ -317,7 +317,7 @@
 
 def test_one_task_jobs_four_a_second_for_two_minutes(loop: VirtualLoop) -> None:
     """A quarter of them cancelled, 18 changes a second: they are done in time, and so is the rest."""
-    world = Several(loop, seed=37, machines=10, write_rps=18.0, rps=250.0)
+    world = SimulatedCluster(loop, seed=37, machines=10, write_rps=18.0, rps=250.0)
     world.task_s = (2.0, 6.0)
     luck = random.Random(7)
     gevent.sleep(3)
@@ -386,10 +386,10 @@
     monkeypatch.setattr(Grants, "_widened", lambda self, job: (job, *whole))
 
 
-def alone_and_cancelled(loop: VirtualLoop, way: Way, monkeypatch: pytest.MonkeyPatch) -> Several:
+def alone_and_cancelled(loop: VirtualLoop, way: Way, monkeypatch: pytest.MonkeyPatch) -> SimulatedCluster:
     """A leader without the state service and the others goes on with its workers, while its job is called off."""
     granted_whole(monkeypatch)
-    world = Several(loop, seed=38, machines=10)
+    world = SimulatedCluster(loop, seed=38, machines=10)
     world.task_s = (2.0, 5.0)
     world.submit("blue", 2000, 1.0)
     gevent.sleep(12)
@@ -431,7 +431,7 @@
 ) -> None:
     """Nobody is served, so nobody confirms a cancellation; with one of the others away nobody can say so."""
     granted_whole(monkeypatch)
-    world = Several(loop, seed=39, machines=10)
+    world = SimulatedCluster(loop, seed=39, machines=10)
     world.task_s = (2.0, 5.0)
     world.submit("blue", 2000, 1.0)
     gevent.sleep(12)
@@ -445,7 +445,7 @@
 
 def test_what_a_controller_that_began_anew_says_is_not_all_it_confirmed(loop: VirtualLoop) -> None:
     """It confirms and ends at once, while the leader reads nothing: its next process knows of no cancellation."""
-    world = Several(loop, seed=40, machines=4)
+    world = SimulatedCluster(loop, seed=40, machines=4)
     gevent.sleep(12)
     (first,) = world.leading()
     node, other = world.nodes[first], next(n for n in world.controllers if n != first)
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from grebestand.standin.several import Several
+from grebestand.standin.cluster import SimulatedCluster
 
 
-def back(world: Several, name: str) -> None:
+def back(world: SimulatedCluster, name: str) -> None:
     """A new process under this name, if there is none."""
     if world.nodes[name] is None:
         world.start(name)
 
 
-def heal(world: Several) -> None:
+def heal(world: SimulatedCluster) -> None:
     """All troubles are over, whatever else has begun meanwhile."""
     world.links.heal()
     world.state.down = False
--- a/tools/cuts.py
+++ b/tools/cuts.py
@@ -23,7 +23,7 @@
 
 import gevent  # noqa: E402
 
-from grebestand.standin.several import STATE, Several, Way  # noqa: E402
+from grebestand.standin.cluster import STATE, SimulatedCluster, Way  # noqa: E402
 from grebestand.standin.virtual import simulated  # noqa: E402
 
 NODES = ("node-0", "node-1", "node-2")
@@ -60,7 +60,7 @@
     pattern, way, seed = task
     cut = [link for i, link in enumerate(LINKS) if pattern >> i & 1]
     with simulated() as loop:
-        world = Several(loop, seed=seed * 1000 + pattern)
+        world = SimulatedCluster(loop, seed=seed * 1000 + pattern)
         world.crowd(0.8, HEALTHY_S + CUT_S + HEALED_S)
         gevent.sleep(HEALTHY_S)
         killed, led = world.killed, len(world.leaders)
