A leader that stands still at each single step: 96 plays

Found: one play above a team's limit, by a fault of the simulated cluster: machines rented by a controller, and writes on their way, stood still with it, so that their leases did not end. Mended there (`later`); all 96 pass.

--- a/src/grebestand/standin/cluster.py
+++ b/src/grebestand/standin/cluster.py
@@ -55,6 +55,17 @@
 RULES = "rent = false\nidle_return_s = 1e6\n"
 
 
+def later(seconds: float, call: Callable[..., object], *args: object) -> None:
+    """What a controller has set off goes on though it stands still: it is on its way, or a machine's own."""
+
+    def go() -> None:
+        own(None)
+        gevent.sleep(seconds)
+        call(*args)
+
+    gevent.spawn(go)
+
+
 class Way(Enum):
     """What becomes of messages between two hosts."""
 
@@ -175,7 +186,7 @@
             # it is held up, and carried out if it is still valid then; or its answer is
             late = self.world.luck.uniform(*LATE_S)
             if self.world.luck.random() < 0.5:
-                gevent.spawn_later(late, seat.answer, method, path, body)
+                later(late, seat.answer, method, path, body)
                 gevent.sleep(timeout)
                 raise Unreachable("timeout")
             status, answer = seat.answer(method, path, body)
@@ -440,10 +451,10 @@
 
     def _rented(self, names: list[str], want: dict[str, Any]) -> None:
         for name in names:
-            gevent.spawn_later(self.luck.uniform(*self.boot_s), self._boot, name, str(want["quay"]), self.loop.time)
-            gevent.spawn_later(self.listed_after_s, self._list, name, str(want["quay"]), self.loop.time)
+            later(self.luck.uniform(*self.boot_s), self._boot, name, str(want["quay"]))
+            later(self.listed_after_s, self._list, name, str(want["quay"]), self.loop.time)
 
-    def _boot(self, name: str, zone: str, since: float) -> None:
+    def _boot(self, name: str, zone: str) -> None:
         if name not in self._deleted:
             at = self.luck.randrange(len(self.controllers))
             seat = self.machines[name] = Seat(name, zone=zone, world=self, node=at, addr=f"{name}:1")
@@ -504,7 +515,7 @@
     def _store(self, near: str, method: str, path: str, body: bytes) -> tuple[int, bytes]:
         if method != "GET" and self.luck.random() < self.late_writes:
             # nobody is answered, and it is carried out after what the same controller sends next
-            gevent.spawn_later(self.luck.uniform(*LATE_S), self.state.request, method, path, body, 1.0)
+            later(self.luck.uniform(*LATE_S), self.state.request, method, path, body, 1.0)
             gevent.sleep(1e6)
         status, answer = self.state.request(method, path, body, 1.0)
         if self.kept_reports and status == 200 and path == "/commit" and b'"set":"leader"' in body:
@@ -552,7 +563,7 @@
         kept, self.kept_reports = self.kept_reports, []
         for body in kept:
             for name in self.controllers:
-                gevent.spawn_later(self.luck.uniform(0.0, KEPT_S), self.deliver, name, body)
+                later(self.luck.uniform(0.0, KEPT_S), self.deliver, name, body)
 
     def leading(self) -> list[str]:
         """Controllers that would give orders now, by their own clocks."""
--- /dev/null
+++ b/tests/test_stopped.py
@@ -0,0 +1,102 @@
+"""A leader that stands still, while its clocks run on, at each single step of what it does for workers and users."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+import gevent
+import pytest
+
+from grebestand.doors.users import UserDoor
+from grebestand.leading.checkins import Checkins
+from grebestand.leading.closing import Closing
+from grebestand.leading.grants import Grants
+from grebestand.leading.leadership import Leadership
+from grebestand.leading.live_jobs import LiveJobs
+from grebestand.leading.pen import Pen
+from grebestand.leading.progress import Progress
+from grebestand.leading.proof import Proof
+from grebestand.leading.rentals import Rentals
+from grebestand.leading.roster import Roster
+from grebestand.outside.state import StateClient
+from grebestand.process.handover import Handover
+from grebestand.reports.answers import Answers
+from grebestand.standin.cluster import SimulatedCluster
+from grebestand.standin.virtual import VirtualLoop, simulated
+from worlds import heal
+
+#: a method, and the place in it at which the leader stops: as it begins, or when it has done its work
+STEPS: list[tuple[type, str]] = [
+    (Checkins, "take"), (Answers, "commands"), (Grants, "write"), (Pen, "commit"), (StateClient, "commit"),
+    (Leadership, "renew"), (LiveJobs, "_follow"), (Closing, "_close"), (Progress, "save"), (Roster, "record"),
+    (Rentals, "_rent_under"), (Proof, "take_direct"), (Handover, "_give_way"), (UserDoor, "_lookup"),
+    (UserDoor, "_accept"), (UserDoor, "cancel"),
+]  # fmt: skip
+
+
+@pytest.fixture
+def loop() -> Iterator[VirtualLoop]:
+    with simulated() as virtual:
+        yield virtual
+
+
+#: from then on the next step of that kind is where the leader stops; machines are rented before
+FROM_S, RENTING_S = 14.0, 3.0
+
+
+def stop_at(
+    worlds: list[SimulatedCluster], monkeypatch: pytest.MonkeyPatch, step: tuple[type, str], after: bool, seconds: float
+) -> list[float]:
+    """The next time at which the leader comes to this step, it stands still there. Tells when that was."""
+    kind, name = step
+    inner = getattr(kind, name)
+    stopped: list[float] = []
+
+    def stand_still(leader: str) -> None:
+        (world,) = worlds
+        if leader and not stopped:
+            stopped.append(world.loop.time)
+            world.freeze(leader, seconds)
+            world.hosts[leader].awake()
+
+    def stopping(self: Any, *args: Any, **more: Any) -> Any:
+        due = worlds and worlds[0].loop.time >= (RENTING_S if kind is Rentals else FROM_S)
+        leader = (worlds[0].leading() or [""])[0] if due else ""
+        if not after:
+            stand_still(leader)
+        found = inner(self, *args, **more)
+        if after:
+            stand_still(leader)
+        return found
+
+    monkeypatch.setattr(kind, name, stopping)
+    return stopped
+
+
+@pytest.mark.parametrize("seconds", [3.0, 14.0, 32.0])
+@pytest.mark.parametrize("after", [False, True], ids=["before", "after"])
+@pytest.mark.parametrize("step", STEPS, ids=[f"{k.__name__}.{n.strip('_')}" for k, n in STEPS])
+def test_a_leader_stands_still_at_a_step(
+    loop: VirtualLoop, monkeypatch: pytest.MonkeyPatch, step: tuple[type, str], after: bool, seconds: float
+) -> None:
+    worlds: list[SimulatedCluster] = []
+    stopped = stop_at(worlds, monkeypatch, step, after, seconds)
+    world = SimulatedCluster(loop, seed=71, machines=3, rules="idle_return_s = 30\n")
+    worlds.append(world)
+    world.task_s, world.cancelling, world.close_looks = (4.0, 25.0), 0.3, True
+    world.boot_s = (0.5, 6.0)
+    world.crowd(1.2, 60.0)
+    gevent.sleep(FROM_S)
+    if step[0] is Handover:
+        for name in world.leading():
+            node = world.nodes[name]
+            assert node is not None
+            gevent.spawn(node.handover._give_way, "played", "")
+    gevent.sleep(4)
+    for _ in range(3):
+        world.cancel_now(3)
+        gevent.sleep(0.4 * seconds + 3.0)
+    heal(world)
+    assert stopped
+    assert world.settled(500.0) == []
