A controller looks at the key once at a time: two looks removed its own key

A resignation sets off a look at the key beside the controller's own; the one that had begun earlier found the key that the other had just taken, by its own name, took it for one of an earlier term and removed it. The next controller took the free key while the first held its authority by time.

Also new: rented machines that come late or never in the simulated cluster.

--- a/src/grebestand/leading/leadership.py
+++ b/src/grebestand/leading/leadership.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 import msgspec
+from gevent.lock import BoundedSemaphore
 
 from ..clocks import DRIFT
 from ..limits.budget import Urgency
@@ -65,6 +66,7 @@
         self.retry_at = 0.0
         #: since when, as far as this controller has seen, nobody has the key
         self.free_since: float | None = None
+        self._looking = BoundedSemaphore(1)
         #: for how long the key has to be free before this controller takes it: better placed ones go first
         self.patience: Callable[[], float] = lambda: 0.0
         #: called whenever it becomes known that somebody else leads, or this controller's own state changes
@@ -123,7 +125,16 @@
     # following --------------------------------------------------------------------------------------------
 
     def look(self) -> None:
-        """One look at the key: learn who leads, or take the lead if nobody does."""
+        """One look at the key: learn who leads, or take the lead if nobody does.
+
+        One at a time. Of two, the one that began earlier once found the key that the other had just taken, by its own
+        name, and removed it as one of an earlier term; the next controller took it, and two led.
+        """
+        with self._looking:
+            if not self._in_term():
+                self._look()
+
+    def _look(self) -> None:
         found = self.store.get(KEY, Urgency.TAKEOVER)
         now = self.looked_at = self.clock()
         if found is not None:
--- a/src/grebestand/standin/cluster.py
+++ b/src/grebestand/standin/cluster.py
@@ -358,6 +358,8 @@
         self.cloud.removed, self.cloud.rented = self._removed, self._rented
         #: how long machines take until they are up, and until they are listed, in seconds
         self.boot_s, self.listed_after_s = (0.2, 2.0), 8.0
+        #: which part of them never comes up
+        self.never_up = 0.0
         self._deleted: set[str] = set()
         self.policy = policy.parse(rules, "cluster.toml", policy.default())
         self.born = 0
@@ -451,7 +453,8 @@
 
     def _rented(self, names: list[str], want: dict[str, Any]) -> None:
         for name in names:
-            later(self.luck.uniform(*self.boot_s), self._boot, name, str(want["quay"]))
+            if self.luck.random() >= self.never_up:
+                later(self.luck.uniform(*self.boot_s), self._boot, name, str(want["quay"]))
             later(self.listed_after_s, self._list, name, str(want["quay"]), self.loop.time)
 
     def _boot(self, name: str, zone: str) -> None:
@@ -464,7 +467,9 @@
     def _list(self, name: str, zone: str, since: float) -> None:
         if name not in self._deleted:
             entry = {"ref": name, "addr": f"{name}:1", "hull": "m4", "quay": zone, "driftwood": False}
-            self.cloud.listed.append({**entry, "tide": "running", "heldS": self.loop.time - since})
+            # as of now; what is up later is listed as it was
+            tide = "running" if name in self.machines else "starting"
+            self.cloud.listed.append({**entry, "tide": tide, "heldS": self.loop.time - since})
 
     def _removed(self, names: list[str]) -> None:
         self._deleted.update(names)
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -20,7 +20,9 @@
 from grebestand.doors.users import UserDoor
 from grebestand.leading.grants import Grants
 from grebestand.leading.knowledge import STARTS_S, Knowledge
+from grebestand.leading.leadership import KEY
 from grebestand.leading.roster import Roster
+from grebestand.outside.state import StateClient
 from grebestand.process.controller import Controller
 from grebestand.records.jobs import OverRecord
 from grebestand.records.leader import GrantRecord
@@ -273,6 +275,24 @@
     assert world.settled(600.0) == []
 
 
+@pytest.mark.parametrize("how", CHANGES)
+def test_new_machines_come_late_or_never(loop: VirtualLoop, how: str) -> None:
+    """A third at once, a third after three times as long as usual, a third never; leaders change meanwhile."""
+    world = SimulatedCluster(loop, seed=41, machines=2, rules="idle_return_s = 15\nkeep_empty = 0\n")
+    world.task_s, world.never_up, world.cancelling = (5.0, 30.0), 0.33, 0.2
+    world.crowd(1.5, 90.0)
+    for i in range(6):
+        world.boot_s = [(0.05, 1.0), (90.0, 150.0)][i % 2]
+        world.submit("blue", 3, 10.0, shape="ensemble")
+        world.submit("blue", 10, 2.0)
+        gevent.sleep(12)
+        if i % 2:
+            change(world, how)
+    world.never_up, world.boot_s = 0.0, (0.2, 2.0)
+    heal(world)
+    assert world.settled(600.0) == []
+
+
 def test_machines_that_get_work_before_they_are_on_record_are_found(
     loop: VirtualLoop, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -492,3 +512,33 @@
     world.state.down = False
     gevent.sleep(2.0)
     assert node.leadership.knowledge.lets_start()
+
+
+# two looks at the key at once ---------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("seed", range(42, 46))
+def test_a_controller_that_looks_twice_at_once_keeps_its_own_key(
+    loop: VirtualLoop, monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    """Its own look, and the one that a resignation sets off, overlap while answers are slow: the one that was under way
+    found the key that the other had just taken, by its own name, and removed it as if it were of an earlier term. The
+    next controller took it, and two led."""
+    world = SimulatedCluster(loop, seed=seed, machines=6)
+    get = StateClient.get
+
+    def slowly(self: StateClient, key: str, *more: Any) -> Any:
+        gevent.sleep(0.25 if key == KEY else 0.0)
+        found = get(self, key, *more)
+        gevent.sleep(0.25 if key == KEY else 0.0)
+        return found
+
+    monkeypatch.setattr(StateClient, "get", slowly)
+    world.crowd(2.0, 60.0)
+    gevent.sleep(12)
+    for i in range(1, 9):
+        before = world.leaders[-1][2]
+        change(world, "hand over")
+        gevent.sleep(8)
+        assert world.leaders[-1][2] > before and len(world.leaders) == 1 + i, world.leaders
+    assert not world.both
