--- a/tests/test_away.py
+++ b/tests/test_away.py
@@ -23,10 +23,9 @@
 from grebestand.outside.state import absent
 from grebestand.process.controller import Controller
 from grebestand.records.jobs import ending
-from grebestand.reports.reading import Reader
 from grebestand.standin.cluster import STATE, SimulatedCluster, Way
 from grebestand.standin.virtual import VirtualLoop, simulated
-from worlds import back, heal
+from worlds import any_report_is_proof, back, heal
 
 Story = Callable[[VirtualLoop, int], SimulatedCluster]
 
@@ -380,18 +379,6 @@
     monkeypatch.setattr(Placing, "_zone_counts", lambda self, job: {})
 
 
-def any_report_is_proof(monkeypatch: pytest.MonkeyPatch) -> None:
-    read = Reader.read
-
-    def believing(self: Reader, r: Any, now: float, direct: bool) -> Any:
-        m = self.fleet.by_name.get(r.machine)
-        r.token = self.token
-        r.session, r.seq = max((r.session, r.seq), (m.session, m.seq + 1) if m is not None else (0, 0))
-        return read(self, r, now, direct)
-
-    monkeypatch.setattr(Reader, "read", believing)
-
-
 def nothing_waits_for_proof(monkeypatch: pytest.MonkeyPatch) -> None:
     """A new leader starts what it has not seen, wherever it may be."""
 
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -15,15 +15,12 @@
 from hypothesis import HealthCheck, Phase, given, seed, settings
 
 from grebestand.books.fleet import Fleet
-from grebestand.books.machine import Machine
 from grebestand.doors.answer import Answer
 from grebestand.doors.users import Known, UserDoor
 from grebestand.leading.leadership import Leadership
-from grebestand.reports.reading import Reader
 from grebestand.standin.cluster import STATE, SimulatedCluster, Way
 from grebestand.standin.virtual import simulated
-from grebestand.wire.workers import Report
-from worlds import back, heal
+from worlds import any_report_is_proof, back, heal
 
 NODES = ("node-0", "node-1", "node-2")
 ENDS = (STATE, "a", "b", *NODES)
@@ -259,26 +256,13 @@
     assert found
 
 
-def old_reports_are_proof(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Every report is taken as if it echoed this term's token, and as the newest."""
-    read = Reader.read
-
-    def believing(self: Reader, r: Report, now: float, direct: bool) -> Machine | None:
-        m = self.fleet.by_name.get(r.machine)
-        newest = (m.session, m.seq + 1) if m is not None else (r.session, r.seq)
-        session, seq = max((r.session, r.seq), newest)
-        return read(self, msgspec.structs.replace(r, token=self.token, session=session, seq=seq), now, direct)
-
-    monkeypatch.setattr(Reader, "read", believing)
-
-
 def test_late_copies_that_are_believed_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
     copied: list[tuple[float, tuple[object, ...]]] = [(0.0, ("copies", 0.4, 60.0))]
     for name in NODES:
         copied += [(8.0, ("crash", name, 1.0)), (8.0, ("restart", 1, False)), (2.0, ("cut", name, "a", Way.HELD))]
         copied += [(9.0, ("heal",))]
     assert played(copied, 1) == ([], [])
-    old_reports_are_proof(monkeypatch)
+    any_report_is_proof(monkeypatch)
     assert any(played(copied, luck) != ([], []) for luck in range(4))
 
 
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -26,13 +26,12 @@
 from grebestand.process.controller import Controller
 from grebestand.records.jobs import OverRecord
 from grebestand.records.leader import GrantRecord
-from grebestand.reports.reading import Reader
 from grebestand.standin.cluster import STATE, SimulatedCluster, Way
 from grebestand.standin.memory import Node, World
 from grebestand.standin.virtual import VirtualLoop, simulated
 from grebestand.states import MachineState
 from grebestand.wire.jobs import JobView
-from worlds import back, heal
+from worlds import any_report_is_proof, back, heal
 
 
 @pytest.fixture
@@ -339,15 +338,7 @@
 
 
 def test_old_reports_that_prove_something_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
-    read = Reader.read
-
-    def believing(self: Reader, r: Any, now: float, direct: bool) -> Any:
-        m = self.fleet.by_name.get(r.machine)
-        r.token = self.token
-        r.session, r.seq = max((r.session, r.seq), (m.session, m.seq + 1) if m is not None else (0, 0))
-        return read(self, r, now, direct)
-
-    monkeypatch.setattr(Reader, "read", believing)
+    any_report_is_proof(monkeypatch)
     found = []
     for seed in range(3):
         with simulated() as virtual:
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -1,8 +1,14 @@
-"""What several test files do to a world of several controllers: processes come back, and all troubles end."""
+"""What several test files do to a simulated cluster: processes come back, all troubles end, reports are believed."""
 
 from __future__ import annotations
 
+import msgspec
+import pytest
+
+from grebestand.books.machine import Machine
+from grebestand.reports.reading import Reader
 from grebestand.standin.cluster import SimulatedCluster
+from grebestand.wire.workers import Report
 
 
 def back(world: SimulatedCluster, name: str) -> None:
@@ -25,3 +31,16 @@
         back(world, name)
     for seat in world.machines.values():
         seat.hung, seat.mute, seat.deaf_to = False, False, frozenset()
+
+
+def any_report_is_proof(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Broken on purpose: every report is taken as if it echoed this term's token, and as the newest."""
+    read = Reader.read
+
+    def believing(self: Reader, r: Report, now: float, direct: bool) -> Machine | None:
+        m = self.fleet.by_name.get(r.machine)
+        newest = (m.session, m.seq + 1) if m is not None else (r.session, r.seq)
+        session, seq = max((r.session, r.seq), newest)
+        return read(self, msgspec.structs.replace(r, token=self.token, session=session, seq=seq), now, direct)
+
+    monkeypatch.setattr(Reader, "read", believing)
