--- a/src/grebestand/leading/sweep.py
+++ b/src/grebestand/leading/sweep.py
@@ -125,6 +125,10 @@
             if job.live and job.version <= min(watched, page.revision) and first < live_key(ident) <= last
             and live_key(ident) not in found
         ]  # fmt: skip
+        if missing:
+            # most likely cancelled between the watch's last word and this page
+            self.jobs.catch_up()
+            missing = [i for i in missing if i in self.ledger.jobs and self.ledger.jobs[i].live]
         for ident in (strange + missing)[:MOST_READ]:
             self._read_again(ident)
 
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -422,6 +422,17 @@
     assert not w.started
 
 
+def test_a_cancellation_that_the_sweep_sees_first_is_no_defect(caplog: pytest.LogCaptureFixture) -> None:
+    """The page was read after it, and the watch has not told of it yet: the log called it a defect."""
+    world = World()
+    term = Node(world, "node-0").lead()
+    ref = world.accept(Node(world, "node-9"), shards=2)
+    term.jobs.watch()
+    assert json.loads(Node(world, "node-8").users.cancel(ref).body)["tide"] == "cancelled"
+    term.sweep._read_page()
+    assert ref not in term.ledger.jobs and not [r for r in caplog.records if r.levelname == "ERROR"]
+
+
 def granted_whole(monkeypatch: pytest.MonkeyPatch) -> None:
     """No start waits for a write, as it is with arrays that have come far."""
     whole = GrantRecord(2000, None), set[int]()
