Read once more: one change of leader for all stories, no work done twice in the simulated cluster

The stories' change of leader stood in three files and is `worlds.change` and `worlds.crash_leader` now. The look at who waits built the set of what runs or is done anew for every task, and the map of zones for every job; the store model decoded each transaction twice. Three constants that nothing used and a condition that could not matter are gone from standin/asked.py.

--- a/src/grebestand/standin/asked.py
+++ b/src/grebestand/standin/asked.py
@@ -11,9 +11,6 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-#: what an answer says of a job, the later the newer
-UNKNOWN, KNOWN, OVER = range(3)
-
 
 @dataclass
 class News:
@@ -62,17 +59,14 @@
     def over(self) -> bool:
         return self.done_at is not None or self.cancelled_at is not None
 
-    def told(
-        self, what: str, status: int, body: bytes, asked: float, now: float, calm_at: float, undone: list[str]
-    ) -> News:
+    def told(self, status: int, body: bytes, asked: float, now: float, calm_at: float, undone: list[str]) -> News:
         """An answer has come to a question that was sent at `asked`; `undone` are tasks that have not completed."""
         news = News()
         known, over = self.accepted_at, self.done_at if self.done_at is not None else self.cancelled_at
         if status in (400, 422) and known is not None:
             news.wrong.append(f"accepted and then answered {status}")
         if status == 404:
-            if what != "poll" or known is not None:
-                self._older(news, asked, known, "accepted and then unknown")
+            self._older(news, asked, known, "accepted and then unknown")
             return news
         if status not in (200, 201):
             return news
--- a/src/grebestand/standin/cluster.py
+++ b/src/grebestand/standin/cluster.py
@@ -704,7 +704,7 @@
         if self.nodes[at] is not node or self.loop.time - asked >= patience:
             return
         done_before = [f"{ref}/{i}" for i in range(job.tasks) if f"{ref}/{i}" not in self.finished]
-        news = job.told(what, answer.status, answer.body, asked, self.loop.time, self.calm_at, done_before)
+        news = job.told(answer.status, answer.body, asked, self.loop.time, self.calm_at, done_before)
         self.wrong += [f"{self.loop.time:.2f} {ref} {text} (by {at})" for text in news.wrong]
         self.overlaps += [f"{self.loop.time:.2f} {ref} {text} (by {at})" for text in news.overlaps]
         if news.newer:
@@ -852,8 +852,10 @@
         for task, name in self._tasks.items():
             if name in free:
                 free[name] -= self.jobs[task.rpartition("/")[0]].cpus
+        zone_of = {name: seat.zone for name, seat in self.machines.items()}
+        taken = self.finished | self._tasks.keys()
         for ref, job in self.jobs.items():
-            waiting = [i for i in range(job.tasks) if not {f"{ref}/{i}"} & (self.finished | self._tasks.keys())]
+            waiting = any(f"{ref}/{i}" not in taken for i in range(job.tasks))
             there = [self.machines[m].zone for t, m in self._tasks.items() if t.rpartition("/")[0] == ref]
             asks = job.tasks if job.gang else 1
             under = all(
@@ -863,11 +865,7 @@
                 )
             )
             could = job.accepted_at is not None and not job.over and not job.broken and waiting and under
-            if (
-                could
-                and not (job.gang and there)
-                and job.fits(free, {n: s.zone for n, s in self.machines.items()}, there)
-            ):
+            if could and not (job.gang and there) and job.fits(free, zone_of, there):
                 since = self._waits.setdefault(ref, self.loop.time)
                 if self.loop.time - since > WAITED_S:
                     self.left_waiting.append(f"{ref} has waited since {since:.1f} though it could begin")
--- a/src/grebestand/standin/store.py
+++ b/src/grebestand/standin/store.py
@@ -51,14 +51,15 @@
     def request(self, method: str, path: str, body: bytes, timeout: float) -> tuple[int, bytes]:
         if self.down:
             return 503, b"{}"
-        changes = len(json.loads(body).get("apply") or ()) if path == "/commit" else 0
+        content = json.loads(body) if body else {}
+        changes = len(content.get("apply") or ()) if path == "/commit" else 0
         if self._too_many("requests", self.rps, 1) or self._too_many("writes", self.write_rps, changes):
             return 429, b"{}"
         self.writes += changes
         self.expire()
         url = urlsplit(path)
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
-        status, answer = self._route(method, url.path, query, json.loads(body) if body else {})
+        status, answer = self._route(method, url.path, query, content)
         if self.lose_answers and method == "POST" and url.path == "/commit":
             self.lose_answers -= 1
             raise Unreachable("the answer was lost")
--- a/tests/test_away.py
+++ b/tests/test_away.py
@@ -25,7 +25,7 @@
 from grebestand.records.jobs import ending
 from grebestand.standin.cluster import STATE, SimulatedCluster, Way
 from grebestand.standin.virtual import VirtualLoop, simulated
-from worlds import any_report_is_proof, back, heal
+from worlds import any_report_is_proof, back, crash_leader, heal
 
 Story = Callable[[VirtualLoop, int], SimulatedCluster]
 
@@ -50,12 +50,6 @@
     return world
 
 
-def crash_leader(world: SimulatedCluster, seconds: float) -> None:
-    for name in world.leading():
-        world.crash(name)
-        gevent.spawn_later(seconds, back, world, name)
-
-
 # reports arrive nowhere, direct commands do ------------------------------------------------------------------
 
 
--- a/tests/test_each_meeting.py
+++ b/tests/test_each_meeting.py
@@ -25,7 +25,7 @@
 from grebestand.states import JobState, Reception
 from grebestand.wire.jobs import JobView
 from grebestand.wire.workers import Report, Why
-from worlds import back
+from worlds import CHANGES, back, change
 
 
 @pytest.fixture
@@ -56,19 +56,12 @@
 
 
 @pytest.mark.parametrize("late", [0.0, 0.4])
-@pytest.mark.parametrize("change", ["crash", "back at once", "hand over"])
-def test_tasks_end_far_apart_across_changes_of_leader(loop: VirtualLoop, change: str, late: float) -> None:
+@pytest.mark.parametrize("how", CHANGES)
+def test_tasks_end_far_apart_across_changes_of_leader(loop: VirtualLoop, how: str, late: float) -> None:
     world = at_work(loop, seed=21)
     world.late_writes = late
     for _ in range(5):
-        for name in world.leading():
-            node = world.nodes[name]
-            assert node is not None
-            if change == "hand over":
-                gevent.spawn(node.handover._give_way, "played", "")
-            else:
-                world.crash(name)
-                gevent.spawn_later(0.2 if change == "back at once" else 6.0, back, world, name)
+        change(world, how)
         gevent.sleep(17)
     world.late_writes = 0.0
     assert world.settled(500.0) == []
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -31,7 +31,7 @@
 from grebestand.standin.virtual import VirtualLoop, simulated
 from grebestand.states import MachineState
 from grebestand.wire.jobs import JobView
-from worlds import any_report_is_proof, back, heal
+from worlds import CHANGES, any_report_is_proof, back, change, heal
 
 
 @pytest.fixture
@@ -40,21 +40,6 @@
         yield virtual
 
 
-def change(world: SimulatedCluster, how: str) -> None:
-    """Another leader, or the same one under another token."""
-    for name in world.leading():
-        node = world.nodes[name]
-        assert node is not None
-        if how == "hand over":
-            gevent.spawn(node.handover._give_way, "played", "")
-        else:
-            world.crash(name)
-            gevent.spawn_later(0.2 if how == "back at once" else 6.0, back, world, name)
-
-
-CHANGES = ["crash", "back at once", "hand over"]
-
-
 # 1. many askers at all controllers, within milliseconds -----------------------------------------------------
 
 
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gevent
 import msgspec
 import pytest
 
@@ -17,6 +18,27 @@
         world.start(name)
 
 
+def crash_leader(world: SimulatedCluster, seconds: float) -> None:
+    """Whoever leads ends, and is back after so long."""
+    for name in world.leading():
+        world.crash(name)
+        gevent.spawn_later(seconds, back, world, name)
+
+
+CHANGES = ["crash", "back at once", "hand over"]
+
+
+def change(world: SimulatedCluster, how: str) -> None:
+    """Another leader, or the same one under another token."""
+    if how != "hand over":
+        crash_leader(world, 0.2 if how == "back at once" else 6.0)
+        return
+    for name in world.leading():
+        node = world.nodes[name]
+        assert node is not None
+        gevent.spawn(node.handover._give_way, "played", "")
+
+
 def heal(world: SimulatedCluster) -> None:
     """All troubles are over, whatever else has begun meanwhile."""
     world.links.heal()
