Split the simulated cluster by trade: links, users, troubles, checks, and what else it is made of

The parts are modules of their own over one basis, as a term's are, with imports that point one way: links, troubles, basis, checks, aftermath, host, state_access, simulated_controllers, users, odd_requests, seats, machines; cluster puts them together and keeps the names that tests use. Two protocols (what a controller reaches of a machine, what is seen of one) take the place of imports that would go in a circle. No test is changed.

--- /dev/null
+++ b/src/grebestand/standin/basis.py
@@ -0,0 +1,58 @@
+"""What all parts of a simulated cluster share: time, draws, links, controllers' names and settings, jobs, troubles."""
+
+from __future__ import annotations
+
+import math
+import random
+
+from ..settings import policy
+from ..settings.platform import Settings, parse
+from .asked import Asked
+from .links import Links
+from .memory import SETTINGS
+from .troubles import Troubles
+from .virtual import VirtualLoop
+
+#: what a machine has
+ROOM = 16.0
+
+
+def settings_of(index: int, names: list[str], rates: tuple[float, float]) -> Settings:
+    """The platform's file of one controller among these; the rates are those of the state service."""
+    text = SETTINGS.replace('host_name = "node-0"', f'host_name = "node-{index}"')
+    text = text.replace("cpus_max = 16.0", "cpus_max = 16.0\ngpus = 2.0\ngpus_max = 4.0")
+    for key, rate in zip(("rps", "write_rps"), rates, strict=True):
+        text = text.replace(f"\n{key} = 10000.0", f"\n{key} = {rate}")
+    text = text.replace("127.0.0.1:2", f"127.0.1.{index}:2").replace("count = 1", f"count = {len(names)}")
+    known = "".join(
+        f'[[known]]\nhost_name = "{n}"\narea = "a"\naddress = "127.0.1.{i}:2"\n'
+        for i, n in enumerate(names)
+        if i != index
+    )
+    return parse(text.replace("[outside]", known + "[outside]"))
+
+
+class Basis(Troubles):
+    def __init__(self, loop: VirtualLoop, seed: int, controllers: int, rules: str, rates: tuple[float, float]) -> None:
+        super().__init__()
+        self.loop = loop
+        self.seed = seed
+        self.rng = random.Random(f"world {seed}")
+        #: draws troubles, so that a world without any plays as it would without them
+        self.luck = random.Random(f"luck {seed}")
+        self.links = Links()
+        self.controllers = [f"node-{i}" for i in range(controllers)]
+        self.policy = policy.parse(rules, "cluster.toml", policy.default())
+        self.settings = {name: settings_of(i, self.controllers, rates) for i, name in enumerate(self.controllers)}
+        params = self.settings["node-0"].params
+        self.lease_s, self.report_s = params.workers.lease_s, params.workers.report_s
+        self.cancel_s = params.workers.cancel_s
+        #: how long tasks run
+        self.task_s = (3.0, 12.0)
+        self.jobs: dict[str, Asked] = {}
+        #: since when all troubles are over
+        self.calm_at = math.inf
+
+    def limits(self) -> dict[str, tuple[float, float]]:
+        """CPUs and cards that each team may use at most."""
+        return {t.name: (t.cpus_max, t.gpus_max) for t in self.settings["node-0"].params.teams}
--- /dev/null
+++ b/src/grebestand/standin/links.py
@@ -0,0 +1,112 @@
+"""Who reaches whom: a matrix of links, each with two ends and a way, and what is held, lost or late on them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, auto
+
+import gevent
+
+from ..outside.http import Unreachable
+from .virtual import own
+
+STATE, CLOUD = "state", "cloud"
+#: a message takes so long, in seconds, at the least and at the most
+DELAY_S = (0.001, 0.006)
+#: what a slow link adds to each message, at most
+SLOW_S = 0.8
+#: what is carried out late, comes so long after it was sent, in seconds
+LATE_S = (2.0, 12.0)
+
+
+def later(seconds: float, call: Callable[..., object], *args: object) -> None:
+    """What a controller has set off goes on though it stands still: it is on its way, or a machine's own."""
+
+    def go() -> None:
+        own(None)
+        gevent.sleep(seconds)
+        call(*args)
+
+    gevent.spawn(go)
+
+
+class Way(Enum):
+    """What becomes of messages between two hosts."""
+
+    OPEN = auto()
+    #: connections are refused; a state service answers 503
+    REFUSED = auto()
+    #: nothing comes through; what was sent is delivered once the link is open again, though its sender has given up
+    HELD = auto()
+    #: what is sent is lost, or what is answered
+    ASKS_LOST = auto()
+    ANSWERS_LOST = auto()
+    SLOW = auto()
+
+
+class Links:
+    """The matrix. A pair that is not in it is open."""
+
+    def __init__(self) -> None:
+        self.ways: dict[tuple[str, str], Way] = {}
+        #: deliveries of what was held, by pair
+        self.held: dict[tuple[str, str], list[Callable[[], object]]] = {}
+
+    def set(self, a: str, b: str, way: Way) -> None:
+        """Both directions between two hosts."""
+        for pair in ((a, b), (b, a)):
+            self.ways[pair] = way
+            if way is not Way.HELD:
+                for deliver in self.held.pop(pair, ()):
+                    gevent.spawn(deliver)
+
+    def heal(self) -> None:
+        for a, b in list(self.ways):
+            self.set(a, b, Way.OPEN)
+
+    def way(self, a: str, b: str) -> Way:
+        return self.ways.get((a, b), Way.OPEN)
+
+
+Handler = Callable[[str, str, bytes], tuple[int, bytes]]
+
+
+@dataclass
+class Wire:
+    """A way from one host to another: what a client knows as its transport."""
+
+    links: Links
+    rng: random.Random
+    near: str
+    far: str
+    #: finds who answers there now; None: the process is gone
+    handler: Callable[[], Handler | None]
+
+    def request(self, method: str, path: str, body: bytes, timeout: float) -> tuple[int, bytes]:
+        with gevent.Timeout(timeout, False):
+            return self._request(method, path, body)
+        raise Unreachable("timeout")
+
+    def _request(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+        self._travel()
+        way, handler = self.links.way(self.near, self.far), self.handler()
+        if way is Way.REFUSED and self.far == STATE:
+            return 503, b"{}"
+        if way is Way.REFUSED or handler is None:
+            raise Unreachable("refused")
+        if way is Way.HELD:
+            deliver = handler
+            self.links.held.setdefault((self.near, self.far), []).append(lambda: deliver(method, path, body))
+        if way in (Way.HELD, Way.ASKS_LOST):
+            gevent.sleep(1e6)
+        status, answer = handler(method, path, body)
+        if self.links.way(self.far, self.near) in (Way.HELD, Way.ANSWERS_LOST):
+            gevent.sleep(1e6)
+        self._travel()
+        return status, answer
+
+    def _travel(self) -> None:
+        late = SLOW_S * self.rng.random() if self.links.way(self.near, self.far) is Way.SLOW else 0.0
+        gevent.sleep(self.rng.uniform(*DELAY_S) + late)
--- /dev/null
+++ b/src/grebestand/standin/machines.py
@@ -0,0 +1,92 @@
+"""Which machines there are: those of the beginning, what the cloud boots, lists and takes away; which hang."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import gevent
+
+from ..wire.cloud import MachineType
+from .basis import ROOM, Basis
+from .checks import Checks
+from .cloud import CloudModel
+from .links import later
+from .seats import Seat
+from .simulated_controllers import SimulatedControllers
+from .users import Users
+
+#: of jobs whose machines are to hang, so many machines do
+MOST_HANGING = 8
+
+
+class Machines:
+    def __init__(
+        self,
+        basis: Basis,
+        machines: dict[str, Seat],
+        cloud: CloudModel,
+        checks: Checks,
+        users: Users,
+        processes: SimulatedControllers,
+    ) -> None:
+        self.basis = basis
+        self.machines = machines
+        self.cloud = cloud
+        self.checks = checks
+        self.users = users
+        self.processes = processes
+        self._deleted: set[str] = set()
+        cloud.types = [MachineType("m4", ROOM, 4.0, 64.0, ["a", "b"], 50.0, 1.0, 1.0, 0.4, 30.0)]
+        cloud.removed, cloud.rented = self.removed, self._rented
+
+    def begin(self, count: int) -> None:
+        """So many are there from the beginning."""
+        for i in range(count):
+            name = f"n-{i:06d}"
+            seat = self._seat(name, "ab"[i % 2], i % len(self.basis.controllers))
+            self.cloud.listed.append(
+                {"ref": name, "addr": seat.addr, "hull": "m4", "quay": seat.zone, "driftwood": False, "tide": "running",
+                 "heldS": 1.0}
+            )  # fmt: skip
+            gevent.spawn_later(self.basis.rng.random() * 2, seat.run)
+
+    def _seat(self, name: str, zone: str, node: int) -> Seat:
+        seat = self.machines[name] = Seat(
+            name, zone=zone, addr=f"{name}:1", node=node,
+            basis=self.basis, checks=self.checks, users=self.users, processes=self.processes,
+        )  # fmt: skip
+        return seat
+
+    def _rented(self, names: list[str], want: dict[str, Any]) -> None:
+        for name in names:
+            if self.basis.luck.random() >= self.basis.never_up:
+                later(self.basis.luck.uniform(*self.basis.boot_s), self._boot, name, str(want["quay"]))
+            later(self.basis.listed_after_s, self._list, name, str(want["quay"]), self.basis.loop.time)
+
+    def _boot(self, name: str, zone: str) -> None:
+        if name not in self._deleted:
+            at = self.basis.luck.randrange(len(self.basis.controllers))
+            seat = self._seat(name, zone, at)
+            seat.answered_at = self.basis.loop.time
+            gevent.spawn(seat.run)
+
+    def _list(self, name: str, zone: str, since: float) -> None:
+        if name not in self._deleted:
+            entry = {"ref": name, "addr": f"{name}:1", "hull": "m4", "quay": zone, "driftwood": False}
+            # as of now; what is up later is listed as it was
+            tide = "running" if name in self.machines else "starting"
+            self.cloud.listed.append({**entry, "tide": tide, "heldS": self.basis.loop.time - since})
+
+    def removed(self, names: list[str]) -> None:
+        self._deleted.update(names)
+        self.cloud.listed = [m for m in self.cloud.listed if m["ref"] not in names]
+        for name in names:
+            if name in self.machines:
+                self.machines[name].gone()
+
+    def hang(self, refs: list[str], seconds: float) -> None:
+        """Some of the machines that these jobs run on hang for so long."""
+        held = sorted({m for t, m in self.checks.tasks.items() if t.rpartition("/")[0] in refs})[:MOST_HANGING]
+        for name in held:
+            self.machines[name].hung = True
+            gevent.spawn_later(seconds, setattr, self.machines[name], "hung", False)
--- /dev/null
+++ b/src/grebestand/standin/simulated_controllers.py
@@ -0,0 +1,139 @@
+"""The processes of the real controllers: begun, crashed, frozen; what reaches them; who of them leads."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import gevent
+
+from ..process.controller import Controller
+from ..states import LeaderState
+from .basis import Basis
+from .cloud import CloudModel
+from .host import Commanded, Host
+from .links import CLOUD, STATE, Handler, later
+from .state_access import StateAccess
+from .store import StoreModel
+from .virtual import own
+
+#: kept copies of reports come within so long of a new key, in seconds
+KEPT_S = 0.25
+
+
+class SimulatedControllers:
+    def __init__(self, basis: Basis, state: StoreModel, cloud: CloudModel, machines: Mapping[str, Commanded]) -> None:
+        self.basis = basis
+        self.state = StateAccess(basis, state, self._deliver_kept)
+        self.cloud = cloud
+        self.machines = machines
+        self.addresses = {"127.0.0.1:3": CLOUD, "127.0.0.1:4": STATE}
+        self.addresses |= {f"127.0.1.{i}:2": name for i, name in enumerate(basis.controllers)}
+        #: how many processes there have been
+        self.born = 0
+        self.nodes: dict[str, Controller | None] = dict.fromkeys(basis.controllers)
+        self.hosts: dict[str, Host] = {}
+        #: who has led, since when and by which token; when two did
+        self.leaders: list[tuple[float, str, int]] = []
+        self.both: list[float] = []
+
+    # processes --------------------------------------------------------------------------------------------
+
+    def start(self, name: str) -> None:
+        """A new process under this name."""
+        self.born += 1
+        drift = self.basis.rng.uniform(-0.0005, 0.0005)
+        host = Host(self.basis, name, self.born, drift, self.addresses, self.server, self.machines)
+        self.hosts[name] = host
+        # all that it spawns is its own, and stands still with it
+        gevent.spawn(self._begin, name, host).join()
+
+    def _begin(self, name: str, host: Host) -> None:
+        own(host)
+        node = Controller(self.basis.settings[name], self.basis.policy, network=host)
+        self.nodes[name] = node
+        node.begin()
+
+    def freeze(self, name: str, seconds: float) -> None:
+        """It stands still while its clocks run on; what is sent to it waits."""
+        self.basis.loop.frozen[self.hosts[name]] = self.basis.loop.time + seconds
+
+    def stands_still(self, name: str) -> bool:
+        return self.basis.loop.frozen.get(self.hosts[name], 0.0) > self.basis.loop.time
+
+    def crash(self, name: str) -> None:
+        """Its loops end at their next step: nothing that it sends from now on arrives, and nothing reaches it."""
+        node, self.nodes[name] = self.nodes[name], None
+        if node is not None:
+            self.hosts[name].gone = True
+
+    # what reaches them, and what they reach ---------------------------------------------------------------
+
+    def server(self, near: str, far: str) -> Handler | None:
+        if far == STATE:
+            return lambda m, p, b: self.state.request(near, m, p, b)
+        if far == CLOUD:
+            return lambda m, p, b: self.cloud.request(m, p, b, 1.0)
+        node, host = self.nodes[far], self.hosts[far]
+        return None if node is None else lambda m, p, b: self._peer(node, host, p, b)
+
+    @staticmethod
+    def _peer(node: Controller, host: Host, path: str, body: bytes) -> tuple[int, bytes]:
+        host.awake()
+        answer = node.peers.answer(path, body)
+        return (404, b"") if answer is None else (200, answer)
+
+    def door(self, name: str) -> Handler | None:
+        node, host = self.nodes[name], self.hosts[name]
+
+        def checkin(method: str, path: str, body: bytes) -> tuple[int, bytes]:
+            assert node is not None
+            host.awake()
+            answer = node.checkin(body)
+            host.awake()
+            return answer.status, answer.body
+
+        return checkin if node is not None else None
+
+    def deliver(self, name: str, body: bytes) -> None:
+        """A copy of a report comes late; nobody waits for its answer."""
+        door = self.door(name)
+        if door is not None:
+            door("POST", "/checkin", body)
+
+    def _deliver_kept(self) -> None:
+        """A new leader has the key: what was kept for it comes to all, before, while and after it reads the records."""
+        kept, self.basis.kept_reports = self.basis.kept_reports, []
+        for body in kept:
+            for name in self.basis.controllers:
+                later(self.basis.luck.uniform(0.0, KEPT_S), self.deliver, name, body)
+
+    # who leads, and who serves ----------------------------------------------------------------------------
+
+    def serves(self, name: str) -> bool:
+        """Whether users are sent to this controller."""
+        return self.nodes[name] is not None and not self.stands_still(name)
+
+    def leading(self) -> list[str]:
+        """Controllers that would give orders now, by their own clocks."""
+        return [
+            n
+            for n, c in self.nodes.items()
+            if not self.stands_still(n)
+            and c is not None
+            and c.leadership.state is LeaderState.LEADING
+            and c.leadership.entitled()
+        ]
+
+    def watch(self) -> None:
+        """Who leads, ten times a second."""
+        last = 0
+        while True:
+            now = self.leading()
+            if len(now) > 1:
+                self.both.append(self.basis.loop.time)
+            for name in now:
+                node = self.nodes[name]
+                if node is not None and node.leadership.token > last:
+                    last = node.leadership.token
+                    self.leaders.append((self.basis.loop.time, name, last))
+            gevent.sleep(0.1)
--- /dev/null
+++ b/src/grebestand/standin/state_access.py
@@ -0,0 +1,48 @@
+"""What becomes of controllers' requests to the state service: done late, answered late or never; open watches."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+
+import gevent
+
+from .basis import Basis
+from .links import LATE_S, STATE, Way, later
+from .store import StoreModel
+
+
+class StateAccess:
+    def __init__(self, basis: Basis, state: StoreModel, new_leader: Callable[[], None]) -> None:
+        self.basis = basis
+        self.state = state
+        #: called as soon as a controller has taken the leader key, while reports are kept for that moment
+        self.new_leader = new_leader
+
+    def request(self, near: str, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+        if method != "GET" and self.basis.luck.random() < self.basis.late_writes:
+            # nobody is answered, and it is carried out after what the same controller sends next
+            later(self.basis.luck.uniform(*LATE_S), self.state.request, method, path, body, 1.0)
+            gevent.sleep(1e6)
+        status, answer = self.state.request(method, path, body, 1.0)
+        if self.basis.kept_reports and status == 200 and path == "/commit" and b'"set":"leader"' in body:
+            self.new_leader()
+        if self.basis.lost_answers and method != "GET" and self.basis.luck.random() < self.basis.lost_answers:
+            gevent.sleep(1e6)
+        if path.startswith("/changes") and status == 200:
+            answer = self._follow(near, path, answer)
+        elif self.basis.slow_s:
+            gevent.sleep(self.basis.luck.uniform(0.0, self.basis.slow_s))
+        return status, answer
+
+    def _follow(self, near: str, path: str, answer: bytes) -> bytes:
+        """An open watch. In an outage, and while its controller alone is refused, it waits and says nothing."""
+        end = self.basis.loop.time + float(path.partition("&waitMs=")[2] or 0) / 1000
+        while self.basis.loop.time < end and not json.loads(answer)["events"]:
+            gevent.sleep(0.1)
+            if self.basis.links.way(near, STATE) is Way.REFUSED:
+                continue
+            status, news = self.state.request("GET", path, b"", 1.0)
+            if status == 200:
+                answer = news
+        return answer
