--- a/src/grebestand/decisions/knobs.py
+++ b/src/grebestand/decisions/knobs.py
@@ -47,6 +47,7 @@
             "teams": float(len(p.teams)),
             "controllers": float(p.nodes),
             "report_s": p.workers.report_s,
+            "sockets": float(p.quota.max_connections),
             "lease_s": p.workers.lease_s,
             "cancel_s": p.workers.cancel_s,
             "gang_wait_s": p.workers.gang_wait_s,
--- a/src/grebestand/doors/answer.py
+++ b/src/grebestand/doors/answer.py
@@ -11,3 +11,5 @@
     body: bytes = b""
     retry_after: int | None = None
     allow: str | None = None
+    #: the connection ends with this answer
+    close: bool = False
--- a/src/grebestand/doors/peers.py
+++ b/src/grebestand/doors/peers.py
@@ -12,6 +12,8 @@
 from ..features.hooks import Features
 from ..outside.peer import Peer
 from ..reach.relay import PATH, RelayDoor
+from ..relays.receiver import Refused
+from ..relays.sender import PATH as REPORTS
 from ..wire.peers import CachedImages, Hello, Resigned
 
 log = logging.getLogger("grebestand.peers")
@@ -43,6 +45,8 @@
         self.hello = hello
         self.resigned = resigned
         self.features = features
+        #: answers batches of reports that another controller passes on
+        self.reports: Callable[[bytes], bytes] | None = None
         #: called when a controller that hung does so no more
         self.on_news: Callable[[], None] = lambda: None
         #: told of a controller that led, and has begun anew: its term is over
@@ -53,6 +57,8 @@
         self.leader_counts: dict[str, tuple[int, int]] = {}
         #: addresses of workers, as the leader last told
         self.samples: list[str] = []
+        #: called with what another controller has answered to a greeting
+        self.on_greeting: Callable[[Hello], None] = lambda hello: None
         #: as the leader last told
         self.cached_images = CachedImages()
 
@@ -85,6 +91,7 @@
                     self.ended(peer.name)
             peer.heard_at, peer.last = self.clock(), answer
             self._take_hello(answer)
+            self.on_greeting(answer)
 
     def told_up_to(self, known_at: float) -> float:
         """Up to when all others have told of every cancellation that they confirmed, given what was read at `known_at`.
@@ -134,6 +141,8 @@
             self.resigned(msgspec.msgpack.decode(body, type=Resigned))
         elif path == PATH:
             return self.relay.answer(body) if self.relay is not None else None
+        elif path == REPORTS:
+            return self.reports(body) if self.reports is not None else None
         elif path in self.features.messages:
             return self.features.messages[path](body)
         else:
@@ -143,7 +152,7 @@
     def app(self, environ: dict[str, Any], start: Callable[..., Any]) -> list[bytes]:
         try:
             answer = self.answer(environ.get("PATH_INFO", ""), environ["wsgi.input"].read(1 << 22))
-        except (msgspec.DecodeError, OSError):
+        except (msgspec.DecodeError, Refused, OSError):
             start("400 Bad Request", [])
             return [b""]
         if answer is None:
--- a/src/grebestand/doors/server.py
+++ b/src/grebestand/doors/server.py
@@ -11,6 +11,7 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer, headers_factory
 
 from ..features.hooks import Gate
+from ..limits.sockets import SocketPlan
 from ..settings.platform import parse_address
 from ..wire.jobs import MAX_BODY
 from .answer import Answer
@@ -21,6 +22,8 @@
     200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
     421: "Misdirected Request", 422: "Unprocessable Entity", 429: "Too Many Requests", 503: "Service Unavailable",
 }  # fmt: skip
+#: a connection beyond what is held is to send its request within so long, in seconds
+SURPLUS_S = 2.0
 #: blocks of headers up to this size are remembered, and so many of them
 BLOCK_BYTES, BLOCKS = 1024, 256
 #: what `http.client` reads of a line of headers
@@ -42,6 +45,9 @@
 class _Handler(WSGIHandler):  # type: ignore[misc]
     """A connection that sends no complete request for long is closed: it would hold a socket for ever."""
 
+    #: beyond what the server is to hold at a time: it gets one answer, and no other request is read
+    surplus = False
+
     #: workers and users send the same few blocks again and again; parsing one took half the time of a request
     _parsed: ClassVar[dict[bytes, Any]] = {}
 
@@ -65,7 +71,7 @@
         return found
 
     def read_requestline(self) -> Any:
-        self.socket.settimeout(120.0)
+        self.socket.settimeout(SURPLUS_S if self.surplus else 120.0)
         line = super().read_requestline()
         self.socket.settimeout(10.0)
         return line
@@ -80,6 +86,12 @@
     def log_request(self) -> None:
         return
 
+    def get_environ(self) -> Any:
+        found = super().get_environ()
+        found["grebestand.connection"] = self
+        found["grebestand.surplus"] = self.surplus
+        return found
+
 
 class _GatedHandler(_Handler):
     """Says who the gate has found at the other end."""
@@ -99,6 +111,25 @@
         return
 
 
+class _Bounded(WSGIServer):  # type: ignore[misc]
+    """Holds so many connections at a time, and takes some more in to be told so: none waits to be accepted."""
+
+    most: int
+    held = 0
+    #: called with each connection that has ended
+    on_end: Callable[[object], None]
+
+    def handle(self, client: Any, address: Any) -> None:
+        handler = self.handler_class(client, address, self)
+        handler.surplus = self.held >= self.most
+        self.held += 1
+        try:
+            handler.handle()
+        finally:
+            self.held -= 1
+            self.on_end(handler)
+
+
 App = Callable[[dict[str, Any], Callable[..., Any]], list[bytes]]
 
 
@@ -136,6 +167,22 @@
     return server
 
 
+def listen_bounded(
+    address: str, field: str, app: App, shares: SocketPlan, on_end: Callable[[object], None]
+) -> WSGIServer:
+    """A server that holds as many connections as are its share, and answers once on some more.
+
+    `on_end` hears of each that has ended. The app finds its connection in the environment, and whether it is of those
+    beyond.
+    """
+    server = _Bounded(
+        parse_address(address, field), app, spawn=Pool(shares.serving + shares.turned_away), backlog=shares.backlog,
+        log=None, error_log=_Quiet(), handler_class=_Handler,
+    )  # fmt: skip
+    server.most, server.on_end = shares.serving, on_end
+    return server
+
+
 def read_body(environ: dict[str, Any]) -> bytes:
     """The body, or one byte more than is allowed if it is larger."""
     length = environ.get("CONTENT_LENGTH")
@@ -150,5 +197,7 @@
         headers.append(("Retry-After", str(answer.retry_after)))
     if answer.allow is not None:
         headers.append(("Allow", answer.allow))
+    if answer.close:
+        headers.append(("Connection", "close"))
     start(f"{answer.status} {REASONS[answer.status]}", headers)
     return [answer.body]
--- a/src/grebestand/doors/workers.py
+++ b/src/grebestand/doors/workers.py
@@ -8,7 +8,9 @@
 
 from ..leading.leadership import Leadership
 from ..leading.term import Term
-from ..states import LeaderState
+from ..relays.sender import ANSWER_S, Sender
+from ..relays.spread import Spread
+from ..states import LeaderState, SpreadState
 from ..wire.jobs import Malformed
 from ..wire.workers import Elsewhere, Report
 from .answer import Answer
@@ -23,22 +25,38 @@
 
 
 class WorkerDoor:
-    def __init__(self, name: str, leadership: Leadership, term: Callable[[], Term | None]) -> None:
+    def __init__(
+        self,
+        name: str,
+        leadership: Leadership,
+        term: Callable[[], Term | None],
+        spread: Spread | None = None,
+        sender: Sender | None = None,
+    ) -> None:
+        """Without `spread` and `sender` only the leader answers reports, whatever the policy says."""
         self.name = name
         self.leadership = leadership
         self.term = term
+        self.spread = spread
+        self.sender = sender
         #: whether another controller hangs, and waits for news of who leads for so many seconds at the most
         self.hangs: Callable[[str], bool] = lambda name: False
         self.wait: Callable[[float], object] = lambda seconds: None
 
-    def checkin(self, body: bytes) -> Answer:
+    def checkin(self, body: bytes, connection: object = None, surplus: bool = False) -> Answer:
+        """The answer to a report. A worker that came over a `surplus` connection is sent elsewhere."""
         try:
             report = _report_decoder.decode(body)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as e:
             return Answer(400, _json.encode({"error": str(e)}))
+        elsewhere = self._elsewhere(report, connection, surplus)
+        if elsewhere is not None:
+            return elsewhere
         answer = self._ordered(report) or self._once_loaded(report)
         if answer is not None:
             return answer
+        if self.sender is not None and self._waits_here(report, self.sender):
+            return self._passed_on(self.sender, body, report)
         leader = self.leadership.known_leader()
         if leader is not None and leader != self.name and self.hangs(leader):
             # sent there, or on to the next, its worker would wait four seconds at each controller that stands still,
@@ -54,6 +72,52 @@
             return Answer(421, _json.encode(Elsewhere(leader)))
         return Answer(503, b"{}", retry_after=1)
 
+    def _elsewhere(self, report: Report, connection: object, surplus: bool) -> Answer | None:
+        """Where a worker is sent that this controller is not to keep; None if it is, or if that is not known here."""
+        spread, sender, leads = self.spread, self.sender, self.leadership.entitled()
+        if spread is None or sender is None:
+            return None
+        if spread.state is SpreadState.LEADER_ONLY or not (leads or sender.open()):
+            if leads and not surplus:
+                spread.keep(report.machine, connection)
+            elif not leads and (leader := self.leadership.known_leader()) is not None and leader != self.name:
+                spread.left(report.machine, connection)
+            if surplus:
+                return Answer(421, _json.encode(Elsewhere()), close=True)
+            return None
+        to = spread.where(report.machine, report.zone, leads, surplus)
+        if to != self.name:
+            return Answer(421, _json.encode(Elsewhere(to)), close=True)
+        spread.keep(report.machine, connection)
+        return None
+
+    def _waits_here(self, report: Report, sender: Sender) -> bool:
+        """Whether the report is for a leader that it can be passed on to, or that is not there yet."""
+        spread = self.spread
+        if spread is None or spread.state is SpreadState.LEADER_ONLY or report.machine not in spread.kept:
+            return False
+        return sender.open() or self.leadership.known_leader() in (None, self.name)
+
+    def _passed_on(self, sender: Sender, body: bytes, report: Report) -> Answer:
+        """The leader's answer. While it changes the report is kept: the next one, or this controller, may answer it."""
+        came_at = sender.clock()
+        until = came_at + ANSWER_S
+        while True:
+            if sender.open():
+                status, said = sender.pass_on(body, came_at)
+                if status in (200, 400):
+                    return Answer(status, said)
+                if status == 503:
+                    break
+            left = until - sender.clock()
+            if left <= 0:
+                break
+            self.wait(min(KEPT_S, left))
+            answer = self._ordered(report)
+            if answer is not None:
+                return answer
+        return Answer(503, b"{}", retry_after=1)
+
     def _once_loaded(self, report: Report) -> Answer | None:
         """While this controller reads the records it can answer nobody, and will in a moment: the report is kept."""
         if self.leadership.state is not LeaderState.LOADING:
--- a/src/grebestand/leading/checkins.py
+++ b/src/grebestand/leading/checkins.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Iterable
+from dataclasses import dataclass
 
 from ..books.machine import Machine
 from ..states import JobState, LeaderState, MachineState, Reception
@@ -20,6 +22,14 @@
 GRANT_WAIT_S = 0.25
 
 
+@dataclass(frozen=True)
+class Taken:
+    """A report that is in the books and not answered yet."""
+
+    machine: Machine
+    report: Report
+
+
 class Checkins(Part):
     def __init__(self, basis: Basis, proof: Proof, grants: Grants, rentals: Rentals, pace: Pace) -> None:
         super().__init__(basis)
@@ -63,6 +73,17 @@
 
     def take(self, report: Report) -> Orders | None:
         """The answer to a report; None while this controller may not answer. Raises `Malformed`."""
+        taken = self.begin(report)
+        if not isinstance(taken, Taken):
+            return taken
+        self.cover([taken])
+        return self.finish(taken)
+
+    def begin(self, report: Report) -> Taken | Orders | None:
+        """Reads a report and fills the room that it brings; its answer may have to wait for grants.
+
+        The answer at once where nothing new is in it; None while this controller may not answer. Raises `Malformed`.
+        """
         if not self.may_answer(report):
             return None
         self.check(report)
@@ -86,17 +107,28 @@
         self.pace.step(now)
         if self.leadership.state is LeaderState.LEADING:
             self.basis.scheduler.fill(m, now)
-        if self.basis.answers.uncovered(m):
-            # one that is under way may have begun too early for these, so a second one is waited for; but never
-            # for long: workers whose reports are not answered in time take this leader for gone
-            for _ in range(2):
-                if self.basis.answers.uncovered(m):
-                    self.grants.covering().join(timeout=GRANT_WAIT_S)
-            now = self.clock()
+        return Taken(m, report)
+
+    def cover(self, taken: Iterable[Taken]) -> None:
+        """Waits for the grants of what is queued on these machines.
+
+        One that is under way may have begun too early for these, so a second one is waited for; but never
+        for long: workers whose reports are not answered in time take this leader for gone.
+        """
+        machines = [t.machine for t in taken]
+        for _ in range(2):
+            if any(self.basis.answers.uncovered(m) for m in machines):
+                self.grants.covering().join(timeout=GRANT_WAIT_S)
+
+    def finish(self, taken: Taken) -> Orders | None:
+        """The answer to a report that was read; None if this controller may not answer any more."""
+        m, report, now = taken.machine, taken.report, self.clock()
         if not self.pen.entitled():
             return None  # the wait, or a pass, took so long that the authority ran out meanwhile
         if (m.session, m.seq) != (report.session, report.seq):
             return self._nothing_new(report)  # a newer report came meanwhile
+        if m.leaving and self._defies(m, now):
+            return None  # the wait made it so
         # what a report of an older token lists may have changed since, and may not be all: nothing follows from it
         answers = self.basis.answers
         starts = self._may_start()
--- a/src/grebestand/leading/term.py
+++ b/src/grebestand/leading/term.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ..features.hooks import Features
 from ..limits.budget import Urgency
@@ -19,7 +19,7 @@
 from ..wire.cloud import MachineType
 from ..wire.workers import Orders, Report
 from .basis import Basis
-from .checkins import Checkins
+from .checkins import Checkins, Taken
 from .closing import Closing
 from .gossip import Gossip
 from .grants import Grants
@@ -130,6 +130,24 @@
             return None
         return self.checkins.take(report)
 
+    def begin_checkin(self, report: Report) -> Taken | Orders | None:
+        """The same in two steps, for several reports at once, with one wait for grants between them."""
+        if not self.loaded:
+            self.checkins.may_answer(report)
+            return None
+        return self.checkins.begin(report)
+
+    def cover_checkins(self, begun: Iterable[Taken | Orders | None]) -> None:
+        self.checkins.cover([t for t in begun if isinstance(t, Taken)])
+
+    def finish_checkin(self, taken: Taken) -> Orders | None:
+        return self.checkins.finish(taken)
+
+    def wants_spread(self, machines: float) -> bool:
+        """Whether with so many machines every controller is to answer reports, by the policy."""
+        dials = self.basis.dials
+        return bool(dials.policy.value("spread_reports", {**dials.names(), "machines": machines}))
+
     def step_fleet(self) -> None:
         """Settles rentals, reads the cloud's list, returns and rents machines."""
         if not self.fleet.kinds:
--- a/src/grebestand/process/controller.py
+++ b/src/grebestand/process/controller.py
@@ -11,13 +11,14 @@
 
 import gevent
 from gevent.event import Event
+from gevent.lock import BoundedSemaphore
 
 from ..doors.answer import Answer
 from ..doors.current import CurrentReads
 from ..doors.peers import IMAGES_S, MOST_TOLD, TOLD_S, PeerDoor
-from ..doors.server import listen, read_body, respond
+from ..doors.server import listen, listen_bounded, read_body, respond
 from ..doors.users import UserDoor
-from ..doors.workers import WorkerDoor
+from ..doors.workers import KEPT_S, WorkerDoor
 from ..features.hooks import Features
 from ..leading.knowledge import Knowledge, allowance_s
 from ..leading.leadership import KEY, Fenced, Leadership
@@ -25,15 +26,19 @@
 from ..leading.term import Term
 from ..limits.budget import Budget
 from ..limits.load import LOOK_S, Load
+from ..limits.sockets import BATCHES, CLOUD, GREETINGS, RELAYED, STATE_REQUESTS, STATE_WATCHES, plan
 from ..outside.cloud import CloudClient, CloudError
 from ..outside.http import Unreachable
 from ..outside.network import Network, Tcp
 from ..outside.peer import Peer
 from ..outside.state import StateClient, StateError
 from ..reach.links import Link
-from ..reach.relay import MOST_RELAYED, RelayDoor, RelayedStore
+from ..reach.relay import RelayDoor, RelayedStore
 from ..records.finals import Finals
 from ..records.jobs import OverRecord
+from ..relays.receiver import Receiver
+from ..relays.sender import Sender
+from ..relays.spread import Other, Spread, spread_on
 from ..settings.expressions import Expressions
 from ..settings.platform import Settings
 from ..settings.policy import VARIABLES
@@ -49,6 +54,8 @@
 RENEW_S = 0.5
 #: a transaction may have so many times as many conditions as changes; one is left to spare
 CONDITIONS = 3
+#: another controller that answered a greeting so lately, in seconds, is there to answer reports
+ANSWERING_S = 2.5
 #: cancellations are told to the others so long after the first, in seconds
 TELL_S = 0.1
 #: all live jobs are looked over so often, in seconds
@@ -81,12 +88,12 @@
         others_ask: Callable[[], list[Peer]] = lambda: self.peers.peers  # noqa: E731
         store, watches = (
             RelayedStore(connect(settings.outside.state, "outside.state", n), self.state_link, others_ask)
-            for n in (24, 4)
+            for n in (STATE_REQUESTS, STATE_WATCHES)
         )
         self.store = store
         self.state = StateClient(store, watches, reads, writes)
         self.cloud = CloudClient(
-            connect(settings.outside.cloud, "outside.cloud", 4),
+            connect(settings.outside.cloud, "outside.cloud", CLOUD),
             Budget(p.cloud.rps * 0.8, p.cloud.rps, self.clock, gevent.spawn_later),
         )
         names = {name: low for name, (low, _) in VARIABLES.items()}
@@ -104,11 +111,23 @@
             lambda: self.known_types.types, self._counts, self.finals, self.features,
             CurrentReads(self.state, CONDITIONS * p.state.txn_ops),
         )  # fmt: skip
-        self.workers = WorkerDoor(settings.name, self.leadership, self._term)
+        self.pressure = Load(p.quota, self.clock)
+        self.sockets = plan(p.quota, len(settings.peers))
+        self._directs = BoundedSemaphore(self.sockets.direct)
+        self.zones = {known.name: known.zone for known in settings.peers}
+        self.spread = Spread(
+            settings.name, settings.zone, self.sockets.workers, p.workers.report_s, self.clock, self._answering
+        )
+        self.sender = Sender(settings.name, self.clock, self._leading_peer)
+        self.workers = WorkerDoor(settings.name, self.leadership, self._term, self.spread, self.sender)
         peers = []
         for known in settings.peers:
-            peers.append(Peer(known.name, connect(known.address, "known.address", 2 + MOST_RELAYED, 0.8)))
+            peers.append(Peer(known.name, connect(known.address, "known.address", GREETINGS + RELAYED + BATCHES, 0.8)))
         self.peers = PeerDoor(peers, self.clock, self._hello, self._resigned, self.features, RelayDoor(store))
+        self.receiver = Receiver(
+            self.zones, self.leadership, self._term, self.pressure, self.clock, self._while_loading
+        )
+        self.peers.reports, self.peers.on_greeting = self.receiver.answer, self._greeted
         self.workers.hangs, self.workers.wait = self.peers.hangs, lambda seconds: self._news.wait(seconds)
         self._news = Event()
         self.leadership.on_news = self.peers.on_news = self._tell_news
@@ -124,7 +143,6 @@
         self.users.on_cancelled, self.peers.on_cancelled = self._cancelled, self._hear_cancelled
         self.term: Term | None = None
         self.users_busy = 0
-        self.pressure = Load(p.quota, self.clock)
         self.handover = Handover(
             settings.name, p.workers.report_s, self.leadership, self.peers, self.pressure, self.clock, self._term,
             self.state_link, self.workers_link,
@@ -350,8 +368,54 @@
             term.gossip.samples(self.rng) if leads and term is not None else [],
             self.incarnation,
             self._told_lately(),
+            len(self.spread.kept),
+            self.spread.room if leads or self.sender.open() else -1,
+            self.spread.machines if leads else 0,
         )
 
+    def _greeted(self, hello: Hello) -> None:
+        """Another controller has said how it is; the leader, also who answers reports."""
+        self.spread.heard(hello.name)
+        if hello.token and self.term is None:
+            self.spread.told(hello.spread)
+
+    def _answering(self) -> list[Other]:
+        """The other controllers that answer reports, as they said lately."""
+        now = self.clock()
+        return [
+            Other(p.name, self.zones[p.name], p.last.token > 0, p.last.kept, p.last.room)
+            for p in self.peers.peers
+            if p.last is not None and p.last.room >= 0 and now - p.heard_at < ANSWERING_S
+        ]
+
+    def _leading_peer(self) -> Peer | None:
+        """The controller that leads by its own word, said lately; of two, the one with the higher token.
+
+        The key is not asked: whoever is sent a batch says itself whether it is entitled to answer it.
+        """
+        now, found = self.clock(), None
+        for p in self.peers.peers if self.term is None else ():
+            if p.last is not None and p.last.token and now - p.heard_at < ANSWERING_S:
+                found = p if found is None or found.last is None or p.last.token > found.last.token else found
+        return found
+
+    def _while_loading(self) -> None:
+        """What came while the records are read is kept for a moment."""
+        if self.leadership.state is LeaderState.LOADING:
+            self._news.wait(KEPT_S)
+
+    def _spread_loop(self) -> None:
+        """The leader decides by the policy whether reports are spread; all forget workers that went elsewhere."""
+        while True:
+            gevent.sleep(1.0)
+            self.spread.tidy()
+            term = self.term
+            if term is None or not term.loaded or not self.leadership.entitled():
+                continue
+            machines = len(term.fleet.machines) if self.peers.peers else 0
+            on = spread_on(term.wants_spread, self.spread.machines > 0, machines)
+            self.spread.told(machines if on or machines > self.sockets.workers else 0)
+
     def _told_lately(self) -> list[str]:
         now = self.clock()
         while self.cancelled and (
@@ -412,7 +476,13 @@
         return self.peers.leader_counts.get(ident, (0, 0))
 
     def _direct(self, addr: str, path: str, body: bytes) -> tuple[int, bytes]:
-        return self.network.once("POST", addr, path, body, 3.0)
+        """One order straight to a worker; these connections are bounded on their own."""
+        if not self._directs.acquire(timeout=1.0):
+            raise Unreachable("too many direct orders are under way")
+        try:
+            return self.network.once("POST", addr, path, body, 3.0)
+        finally:
+            self._directs.release()
 
     def _types_loop(self) -> None:
         while True:
@@ -430,11 +500,14 @@
         if path == "/checkin":
             if method != "POST":
                 return Answer(405, b"{}", allow="POST")
-            return self.checkin(read_body(environ))
+            connection = environ.get("grebestand.connection")
+            return self.checkin(read_body(environ), connection, bool(environ.get("grebestand.surplus")))
         if path == "/healthz":
             if method != "GET":
                 return Answer(405, b"{}", allow="GET")
             return Answer(200 if self.handover.healthy() else 503, b"{}")
+        if environ.get("grebestand.surplus"):
+            return Answer(503, b'{"error":"no connection is free"}', retry_after=1, close=True)
         if not self.pressure.takes(self.users_busy, poll=method == "GET"):
             # reports from workers go first; users are told at once and come back
             return Answer(503, b'{"error":"overloaded"}', retry_after=1)
@@ -444,10 +517,10 @@
         finally:
             self.users_busy -= 1
 
-    def checkin(self, body: bytes) -> Answer:
+    def checkin(self, body: bytes, connection: object = None, surplus: bool = False) -> Answer:
         """A worker's report; whatever it is answered, it shows that workers reach this controller."""
         self.workers_link.answered()
-        return self.workers.checkin(body)
+        return self.workers.checkin(body, connection, surplus)
 
     def app(self, environ: dict[str, Any], start: Callable[..., Any]) -> list[bytes]:
         try:
@@ -467,13 +540,15 @@
         gevent.spawn(self._look_loop)
         gevent.spawn(self._types_loop)
         gevent.spawn(self._images_loop)
+        gevent.spawn(self._spread_loop)
+        gevent.spawn(self.sender.run)
         for peer in self.peers.peers:
             gevent.spawn(self._peer_loop, peer)
 
     def serve(self) -> None:
-        limit = max(50, int(self.settings.params.quota.max_connections * 0.75))
-        server = listen(self.settings.listen, "serve_on", self.app, limit)
-        listen(self.settings.peer_listen, "peer_listen", self.peers.app, 40 + MOST_RELAYED).start()
+        shares = self.sockets
+        server = listen_bounded(self.settings.listen, "serve_on", self.app, shares, self.spread.ended)
+        listen(self.settings.peer_listen, "peer_listen", self.peers.app, max(64, shares.peers)).start()
         for extra in self.features.listeners:
             listen(extra.address, extra.field, extra.app, extra.connections, extra.gate).start()
         self.begin()
--- a/src/grebestand/reach/relay.py
+++ b/src/grebestand/reach/relay.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from ..limits.sockets import RELAYED
 from ..outside.http import Transport, Unreachable
 from ..outside.peer import Peer
 from ..states import LinkState
@@ -28,9 +29,7 @@
 OUTAGE_S = 0.5
 #: a helper that did not answer is left alone for so long
 REST_S = 2.0
-#: requests that a helper has in hand for others at a time; more are refused at once
-MOST_RELAYED = 24
-#: a watch is held for so long at the most, since it takes one of those
+#: a watch is held for so long at the most, since it takes one of the places for what is asked for others
 WATCH_MS = 1000
 
 
@@ -116,7 +115,7 @@
         return msgspec.msgpack.encode(self._ask(q))
 
     def _ask(self, q: Relayed) -> RelayedAnswer:
-        if self.store.link.state is LinkState.DOWN or self.busy >= MOST_RELAYED:
+        if self.store.link.state is LinkState.DOWN or self.busy >= RELAYED:
             return RelayedAnswer(503, b"")  # not executed, and said so at once
         self.busy += 1
         try:
--- /dev/null
+++ b/src/grebestand/relays/receiver.py
@@ -0,0 +1,129 @@
+"""The leader's side of reports that other controllers pass on: reads them in slices, waits once, answers each."""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Callable, Collection
+
+import gevent
+import msgspec
+
+from ..leading.leadership import Leadership
+from ..leading.term import Term
+from ..limits.load import Load
+from ..limits.sockets import BATCHES
+from ..states import LoadState
+from ..wire.jobs import Malformed
+from ..wire.peers import Batch, Replies
+from ..wire.workers import Orders, Report
+from .sender import MOST_BYTES, MOST_REPORTS
+
+log = logging.getLogger("grebestand.relays")
+
+#: reports are read for so long before others have their turn, in seconds
+SLICE_S = 0.01
+#: a batch that nobody may have sent is told of so often at the most, in seconds
+TELL_S = 10.0
+#: the body of one report, in bytes, at the most
+REPORT_BYTES = 1 << 16
+
+_json = msgspec.json.Encoder()
+_report_decoder = msgspec.json.Decoder(Report)
+
+
+class Refused(ValueError):
+    """A message that is no batch of another controller's."""
+
+
+class Receiver:
+    """Answers batches under this controller's own term, or says of each report that it may not."""
+
+    def __init__(
+        self,
+        senders: Collection[str],
+        leadership: Leadership,
+        term: Callable[[], Term | None],
+        load: Load,
+        clock: Callable[[], float],
+        wait: Callable[[], object],
+    ) -> None:
+        """`senders`: the other controllers by name; `wait` comes back once this controller's records may be read."""
+        self.senders = frozenset(senders)
+        self.leadership = leadership
+        self.term = term
+        self.load = load
+        self.clock = clock
+        self.wait = wait
+        self.busy = 0
+        self._told_at = -math.inf
+        #: reports that came over others
+        self.reports = 0
+
+    def answer(self, body: bytes) -> bytes:
+        """The answers to a batch, in its order. Raises `Refused` for what is none."""
+        return msgspec.msgpack.encode(self._answered(self._read(body)))
+
+    def _read(self, body: bytes) -> Batch:
+        try:
+            batch = msgspec.msgpack.decode(body, type=Batch)
+            if batch.sender not in self.senders:
+                raise Refused(f"{batch.sender[:100]!r} is no controller of this cluster")
+            if len(batch.reports) > MOST_REPORTS or sum(map(len, batch.reports)) > MOST_BYTES + REPORT_BYTES:
+                raise Refused(f"{batch.sender} sent {len(batch.reports)} reports at once")
+        except (msgspec.DecodeError, Refused) as e:
+            now = self.clock()
+            if now - self._told_at >= TELL_S:
+                self._told_at = now
+                log.warning("a batch of reports was refused: %s", e)
+            raise Refused(str(e)) from e
+        return batch
+
+    def _answered(self, batch: Batch) -> Replies:
+        late = self.load.state is LoadState.OVERLOADED
+        if (late and self.busy > len(self.senders)) or self.busy >= BATCHES * max(1, len(self.senders)):
+            return Replies([(503, b"")] * len(batch.reports), late=True)
+        self.busy += 1
+        try:
+            self.reports += len(batch.reports)
+            return Replies(self._take(batch.reports), late=late)
+        finally:
+            self.busy -= 1
+
+    def _take(self, bodies: list[bytes]) -> list[tuple[int, bytes]]:
+        """Reads all, waits once for what their starts need, then answers all that it still may."""
+        self.leadership.check_clock()
+        self.wait()
+        term = self.term()
+        if term is None:
+            return [(421, b"")] * len(bodies)
+        answers: list[tuple[int, bytes]] = [(503, b"")] * len(bodies)
+        begun = {}
+        since = self.clock()
+        for i, body in enumerate(bodies):
+            if self.clock() - since > SLICE_S:
+                gevent.sleep(0)
+                since = self.clock()
+            try:
+                if len(body) > REPORT_BYTES:
+                    raise Malformed("the report is too large")
+                begun[i] = term.begin_checkin(_report_decoder.decode(body))
+            except (msgspec.DecodeError, UnicodeDecodeError, RecursionError, Malformed) as e:
+                answers[i] = 400, _json.encode({"error": str(e)})
+            except Exception:
+                # one report that cannot be dealt with leaves the others as they are
+                log.exception("a report that was passed on failed")
+        term.cover_checkins(begun.values())
+        since = self.clock()
+        for i, taken in begun.items():
+            if self.clock() - since > SLICE_S:
+                gevent.sleep(0)
+                since = self.clock()
+            orders = taken if taken is None or isinstance(taken, Orders) else term.finish_checkin(taken)
+            if orders is not None:
+                answers[i] = 200, _json.encode(orders)
+        # starts in an answer that does not leave are sent again, as if lost on the way
+        self.leadership.check_clock()
+        if not self.leadership.entitled() or self.term() is not term:
+            return [(503, b"") if status == 200 else (status, said) for status, said in answers]
+        return answers
--- /dev/null
+++ b/src/grebestand/relays/spread.py
@@ -0,0 +1,201 @@
+"""Which controller keeps which workers: up to its share of them, those of its own zone first, and stable.
+
+With few machines the leader alone is reported to. Beyond that every controller that reaches the leader keeps workers,
+up to an even share and a little more; whoever comes on top is told of one that has room. Counts of others are as old as
+their last greeting, so what was sent there since is added. No worker is sent away twice within a while, so that two
+controllers which both think that the other has room do not play with it.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections import Counter, OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..states import SPREAD_STEPS, SpreadState, step
+
+log = logging.getLogger("grebestand.spread")
+
+#: a controller keeps up to so many times its even share; from so many times on it also sends some away that it kept
+SHARE_SLACK, SHED_SLACK = 1.05, 1.12
+#: and so many workers more, for where shares are small
+SHARE_FEW = 1
+#: the leader's share of the reports that come directly: it reads all the others too
+LEADER_WEIGHT = 0.85
+#: of its share, so many a second are sent away by one that has too many
+SHED_PER_S = 0.06
+#: one that came back so soon after it was sent away is kept, in seconds
+BACK_S = 15.0
+#: one that has not reported for so many report intervals is no longer counted
+GONE_REPORTS = 3.0
+#: what is on lasts until the machines are fewer by this part than what switched it on
+STAYS = 1.15
+
+
+@dataclass(frozen=True)
+class Other:
+    """Another controller that answers reports, as it said in its last greeting."""
+
+    name: str
+    zone: str
+    leads: bool
+    #: workers that it keeps, and how many more its sockets bear
+    kept: int
+    room: int
+
+
+class Spread:
+    """One controller's side of it."""
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        limit: int,
+        report_s: float,
+        clock: Callable[[], float],
+        others: Callable[[], list[Other]],
+    ) -> None:
+        """`limit`: workers whose connections this controller bears; `others`: those that answer reports now."""
+        self.name = name
+        self.zone = zone
+        self.limit = limit
+        self.report_s = report_s
+        self.clock = clock
+        self.others = others
+        self.state = SpreadState.LEADER_ONLY
+        #: machines in all, as the leader counts them, while reports are spread
+        self.machines = 0
+        #: when each worker that is kept here last reported, and over which connection
+        self.kept: dict[str, tuple[float, object]] = {}
+        self._over: dict[int, str] = {}
+        #: workers that were sent away, and when
+        self.sent: OrderedDict[str, float] = OrderedDict()
+        #: how many were sent to each other controller since it last said what it keeps
+        self._underway: Counter[str] = Counter()
+        self._shed_left, self._shed_at = 0.0, clock()
+        #: how many were sent away since this process began
+        self.redirected = 0
+
+    def move(self, new: SpreadState, why: str) -> None:
+        """The one function that changes who answers reports, as far as this controller knows."""
+        if new is self.state:
+            return
+        step(SPREAD_STEPS, self.state, new, "reports")
+        log.info("reports: %s -> %s: %s", self.state.name, new.name, why)
+        self.state = new
+
+    def told(self, machines: int) -> None:
+        """The leader says that reports of so many machines are spread; none: that it answers all itself."""
+        self.machines = machines
+        if machines:
+            self.move(SpreadState.EVERY_CONTROLLER, f"{machines} machines")
+        else:
+            self.move(SpreadState.LEADER_ONLY, "the leader answers all")
+
+    def heard(self, name: str) -> None:
+        """Another controller has said anew what it keeps."""
+        self._underway.pop(name, None)
+
+    @property
+    def room(self) -> int:
+        """How many more workers this controller's sockets bear."""
+        return max(0, self.limit - len(self.kept))
+
+    def share(self, leads: bool, others: list[Other]) -> float:
+        """The even share of a controller, in workers, among this one and the others that answer."""
+        leading = leads or any(o.leads for o in others)
+        weights = 1 + len(others) - (1 - LEADER_WEIGHT if leading else 0.0)
+        return self.machines * (LEADER_WEIGHT if leads else 1.0) / weights
+
+    def keep(self, machine: str, connection: object = None) -> None:
+        """This worker is answered here."""
+        self.kept[machine] = self.clock(), connection
+        if connection is not None:
+            self._over[id(connection)] = machine
+        self.sent.pop(machine, None)
+
+    def left(self, machine: str, connection: object) -> None:
+        """It no longer reports here over this connection."""
+        if machine in self.kept and self.kept[machine][1] is connection:
+            del self.kept[machine]
+
+    def ended(self, connection: object) -> None:
+        """A connection is closed, whoever had it."""
+        machine = self._over.pop(id(connection), None)
+        if machine is not None:
+            self.left(machine, connection)
+
+    def tidy(self) -> None:
+        """Forgets workers that no longer report here, and those sent away long ago."""
+        now = self.clock()
+        gone = [m for m, (at, _) in self.kept.items() if now - at > GONE_REPORTS * self.report_s]
+        for machine in gone:
+            del self.kept[machine]
+        while self.sent and now - next(iter(self.sent.values())) > BACK_S:
+            self.sent.popitem(last=False)
+
+    def where(self, machine: str, zone: str, leads: bool, surplus: bool = False) -> str | None:
+        """The controller that a worker is to report to: this one's name to keep it; None if none is known to have room.
+
+        To be asked only while reports are spread. One that comes over a `surplus` connection cannot stay.
+        """
+        others = self.others()
+        here = machine in self.kept and not surplus
+        room = 0 if surplus else self.room
+        if here and not self._sheds(leads, others):
+            return self.name
+        if not here and machine in self.sent and room:
+            return self.name  # it comes back from where it was sent: nobody is sent to and fro
+        free = [(self._free(o, others), o) for o in others]
+        near = max((f for f in free if f[1].zone == zone and f[0] >= 1), key=lambda f: f[0], default=None)
+        mine = self.share(leads, others) * SHARE_SLACK + SHARE_FEW
+        if not here and room and len(self.kept) < mine and (zone == self.zone or near is None):
+            return self.name
+        best = near or max((f for f in free if f[0] >= 1), key=lambda f: f[0], default=None)
+        if best is None:
+            # nobody is below its share: whoever has sockets keeps it
+            if room or here:
+                return self.name
+            spare = max((o for o in others if self._room(o) > 0), key=self._room, default=None)
+            return self._send(machine, spare) if spare is not None else None
+        return self._send(machine, best[1])
+
+    def _room(self, other: Other) -> int:
+        return other.room - self._underway[other.name]
+
+    def _free(self, other: Other, others: list[Other]) -> float:
+        """How many workers another controller is below its share, and bears."""
+        rest = [o for o in others if o is not other]
+        leading = other.leads or any(o.leads for o in rest) or all(not o.leads for o in others)
+        weights = 1 + len(others) - (1 - LEADER_WEIGHT if leading else 0.0)
+        share = self.machines * (LEADER_WEIGHT if other.leads else 1.0) / weights
+        return min(share * SHARE_SLACK - other.kept - self._underway[other.name], float(self._room(other)))
+
+    def _send(self, machine: str, other: Other) -> str:
+        self._underway[other.name] += 1
+        self.sent[machine] = self.clock()
+        self.sent.move_to_end(machine)
+        self.kept.pop(machine, None)
+        self.redirected += 1
+        return other.name
+
+    def _sheds(self, leads: bool, others: list[Other]) -> bool:
+        """Whether one that is kept here goes elsewhere: at a bounded rate, while there are far too many here."""
+        now, share = self.clock(), self.share(leads, others)
+        rate = SHED_PER_S * share + 1.0
+        self._shed_left = min(rate, self._shed_left + rate * (now - self._shed_at))
+        self._shed_at = now
+        if len(self.kept) <= min(share * SHED_SLACK + SHARE_FEW, float(self.limit)) or self._shed_left < 1.0:
+            return False
+        if all(self._free(o, others) < 1 for o in others):
+            return False
+        self._shed_left -= 1.0
+        return True
+
+
+def spread_on(value: Callable[[float], bool], on: bool, machines: int) -> bool:
+    """Whether the policy's `value`, for a number of machines, wants reports spread; what is on goes off later."""
+    return machines > 0 and value(math.ceil(machines * STAYS) if on else float(machines))
--- a/src/grebestand/settings/policy.py
+++ b/src/grebestand/settings/policy.py
@@ -15,6 +15,7 @@
     "zones": (1.0, 1e4),
     "teams": (0.0, 1e6),
     "controllers": (1.0, 1e3),
+    "sockets": (1.0, 1e9),
     "report_s": (1e-3, 1e5),
     "lease_s": (1e-3, 1e6),
     "cancel_s": (1e-3, 1e6),
@@ -46,6 +47,7 @@
     "sick_errors": Rule(1, 1e6),
     "slow_ratio": Rule(1.1, 100),
     "slow_samples": Rule(4, 1e6),
+    "spread_reports": Rule(0, 1, boolean=True),
 }
 VOCABULARY = Vocabulary(KEYS, VARIABLES)
 
--- a/src/grebestand/standin/simulated_controllers.py
+++ b/src/grebestand/standin/simulated_controllers.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Mapping
 
 import gevent
 
+from ..outside.http import Unreachable
 from ..process.controller import Controller
 from ..states import LeaderState
 from .basis import Basis
@@ -80,6 +82,9 @@
     def _peer(node: Controller, host: Host, path: str, body: bytes) -> tuple[int, bytes]:
         host.awake()
         answer = node.peers.answer(path, body)
+        host.awake()
+        if host.gone:
+            raise Unreachable("its process ended before it answered")
         return (404, b"") if answer is None else (200, answer)
 
     def door(self, name: str) -> Handler | None:
@@ -90,6 +95,8 @@
             host.awake()
             answer = node.checkin(body)
             host.awake()
+            if host.gone:
+                raise Unreachable("its process ended before it answered")
             return answer.status, answer.body
 
         return checkin if node is not None else None
@@ -98,7 +105,8 @@
         """A copy of a report comes late; nobody waits for its answer."""
         door = self.door(name)
         if door is not None:
-            door("POST", "/checkin", body)
+            with contextlib.suppress(Unreachable):
+                door("POST", "/checkin", body)
 
     def _deliver_kept(self) -> None:
         """A new leader has the key: what was kept for it comes to all, before, while and after it reads the records."""
--- a/src/grebestand/states.py
+++ b/src/grebestand/states.py
@@ -115,6 +115,32 @@
 }
 
 
+class SpreadState(Enum):
+    """Who answers workers' reports."""
+
+    LEADER_ONLY = auto()  # the others send workers to the leader
+    EVERY_CONTROLLER = auto()  # the others keep workers too, and pass their reports on
+
+
+SPREAD_STEPS: dict[SpreadState, frozenset[SpreadState]] = {
+    SpreadState.LEADER_ONLY: frozenset({SpreadState.EVERY_CONTROLLER}),
+    SpreadState.EVERY_CONTROLLER: frozenset({SpreadState.LEADER_ONLY}),
+}
+
+
+class PassageState(Enum):
+    """Whether a controller passes reports on to the leader."""
+
+    OPEN = auto()
+    RESTING = auto()  # the leader has not answered for a while: workers are sent there themselves
+
+
+PASSAGE_STEPS: dict[PassageState, frozenset[PassageState]] = {
+    PassageState.OPEN: frozenset({PassageState.RESTING}),
+    PassageState.RESTING: frozenset({PassageState.OPEN}),
+}
+
+
 class LoadState(Enum):
     """How far a controller is behind, the higher the worse."""
 
--- a/src/grebestand/wire/peers.py
+++ b/src/grebestand/wire/peers.py
@@ -31,6 +31,12 @@
     incarnation: int = 0
     #: jobs that users were told lately, by the sender, are cancelled; true for ever, however late this comes
     cancelled: list[JobName] = []
+    #: workers that report to it, and how many more its sockets bear; negative: it answers none, as it does not lead and
+    #: reaches no leader to pass reports on to
+    kept: int = 0
+    room: int = -1
+    #: from the leader: the machines whose reports every controller answers; 0: the leader answers all itself
+    spread: int = 0
 
 
 class Resigned(msgspec.Struct):
@@ -58,6 +64,24 @@
     body: bytes
 
 
+class Batch(msgspec.Struct):
+    """Workers' reports that a controller passes on to the leader, each as it came; one hop only."""
+
+    sender: str
+    reports: list[bytes]
+
+
+class Replies(msgspec.Struct):
+    """The leader's answers, in the order of the batch: status and body as its worker is to get them.
+
+    Status 421: the receiver does not lead; 503: it may not answer this one now.
+    """
+
+    answers: list[tuple[int, bytes]]
+    #: the sender does well to refuse sooner rather than let reports wait
+    late: bool = False
+
+
 class CachedImages(msgspec.Struct):
     """Which machine is thought to have which images, by their place in `names`; a successor starts from it."""
 
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -11,11 +11,12 @@
 import pytest
 
 from grebestand.leading.leadership import ALONE_S
+from grebestand.limits.sockets import RELAYED
 from grebestand.outside.http import Transport, Unreachable
 from grebestand.outside.peer import Peer
 from grebestand.process.handover import HEARD_S
 from grebestand.reach.links import Link
-from grebestand.reach.relay import DOWN_AFTER_S, MOST_RELAYED, PATH, WATCH_MS, RelayDoor, RelayedStore
+from grebestand.reach.relay import DOWN_AFTER_S, PATH, WATCH_MS, RelayDoor, RelayedStore
 from grebestand.standin.cluster import STATE, SimulatedCluster, Way
 from grebestand.standin.memory import Clock, Node, World
 from grebestand.standin.virtual import VirtualLoop, simulated
@@ -173,10 +174,10 @@
 
     door = RelayDoor(RelayedStore(Slow(), Link("state", lambda: loop.time), lambda: []))
     question = msgspec.msgpack.encode(Relayed("GET", "/store/a", b"", 1000))
-    asked = [gevent.spawn(door.answer, question) for _ in range(MOST_RELAYED + 5)]
+    asked = [gevent.spawn(door.answer, question) for _ in range(RELAYED + 5)]
     gevent.joinall(asked)
     statuses = [msgspec.msgpack.decode(g.value, type=RelayedAnswer).status for g in asked]
-    assert (statuses.count(200), statuses.count(503)) == (MOST_RELAYED, 5) and loop.time == 0.5
+    assert (statuses.count(200), statuses.count(503)) == (RELAYED, 5) and loop.time == 0.5
 
 
 def test_a_watch_for_another_is_short_and_shows_nothing_of_the_link() -> None:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -20,11 +20,11 @@
 from grebestand.decisions.placing import Placing
 from grebestand.leading.term import Term
 from grebestand.reports.reading import Reader
-from grebestand.standin.cluster import STATE, SimulatedCluster, Way
+from grebestand.standin.cluster import RULES, STATE, SimulatedCluster, Way
 from grebestand.standin.memory import Node, World
 from grebestand.standin.virtual import simulated
 from grebestand.wire.workers import TaskReport, TaskStatus
-from worlds import back, heal
+from worlds import SPREAD, back, heal
 
 MACHINES = 12
 #: plays with a higher seed also have jobs that are bound to one zone, or spread over both
@@ -33,6 +33,8 @@
 STARTED_S = 20.0
 #: with a higher one, there is more work than the teams may run
 FULL_ABOVE = 16
+#: each third seed above this is played with reports over any controller
+SPREAD_ABOVE = 64
 
 
 def leader(world: SimulatedCluster) -> str:
@@ -250,6 +252,28 @@
     zone_apart, lost_answers, kept_reports, close_looks, at_end, cancel_now, mute, odd_requests, all_away, ten_changes,
     taken, cancelled_as_refused,
 ]  # fmt: skip
+
+
+def relay_crashes(world: SimulatedCluster, rng: random.Random) -> None:
+    """A controller that passes reports on ends, and is back within half a second or after several."""
+    crash(
+        world, [rng.choice(others(world, leader(world)))], rng.choice([rng.uniform(0.05, 0.5), rng.uniform(2.0, 9.0)])
+    )
+
+
+def relay_parted(world: SimulatedCluster, rng: random.Random) -> None:
+    """A controller that passes reports on loses the leader, or stands still while it holds some."""
+    relay = rng.choice(others(world, leader(world)))
+    if rng.random() < 0.5:
+        world.freeze(relay, rng.uniform(1.0, 25.0))
+    else:
+        cut(world, relay, [leader(world)], way(rng), rng.uniform(4.0, 40.0))
+
+
+#: troubles of controllers that pass reports on: their pairs are played with reports over any controller
+OF_RELAYS = [relay_crashes, relay_parted]
+FIRST_OF_RELAYS = len(KINDS)
+KINDS += OF_RELAYS
 PAIRS = list(itertools.combinations_with_replacement(range(len(KINDS)), 2))
 
 
@@ -257,7 +281,9 @@
     """What came of it when two kinds of trouble met: rules that were broken, jobs that were lost."""
     rng = random.Random(f"{first} {second} {seed}")
     with simulated() as loop:
-        world = SimulatedCluster(loop, seed=seed, controllers=3 if seed % 2 else 5, machines=MACHINES)
+        spread = max(first, second) >= FIRST_OF_RELAYS or (seed > SPREAD_ABOVE and seed % 3 == 0)
+        rules = SPREAD if spread else RULES
+        world = SimulatedCluster(loop, seed=seed, controllers=3 if seed % 2 else 5, machines=MACHINES, rules=rules)
         world.cancelling = 0.4
         # jobs of a few tasks, which end far apart, and more of them than can run at once
         world.task_s = rng.choice([(3.0, 12.0), (5.0, 60.0), (30.0, 90.0)])
@@ -295,7 +321,9 @@
     low, _, high = os.environ.get("MEETINGS", "").partition("-")
     if low:
         return [(a, b, seed) for seed in range(int(low), int(high or low) + 1) for a, b in PAIRS]
-    return FOUND + [(k, (k + 7) % len(KINDS), 2 * k + 1) for k in range(0, len(KINDS), 2)]
+    before = FIRST_OF_RELAYS
+    found = FOUND + [(k, (k + 7) % before, 2 * k + 1) for k in range(0, before, 2)]
+    return found + [(k % before, before + k % 2, 70 + k) for k in range(0, 2 * before, 5)]
 
 
 #: seeds that broke a rule once, as is told in docs/meetings.md
--- /dev/null
+++ b/tests/test_relays.py
@@ -0,0 +1,621 @@
+"""Reports over any controller: who keeps which workers, batches to the leader, and every way in which a relay fails."""
+
+from __future__ import annotations
+
+import itertools
+import json
+from collections import Counter
+from collections.abc import Callable, Iterator
+
+import gevent
+import msgspec
+import pytest
+from gevent import socket
+
+from grebestand.doors.answer import Answer
+from grebestand.doors.server import listen_bounded, respond
+from grebestand.leading.leadership import Leadership
+from grebestand.leading.term import Term
+from grebestand.limits.load import Load
+from grebestand.limits.sockets import BATCHES, SocketPlan, plan
+from grebestand.outside.http import Unreachable
+from grebestand.outside.peer import Peer
+from grebestand.process.controller import Controller
+from grebestand.relays.receiver import Receiver, Refused
+from grebestand.relays.sender import ANSWER_S, DOWN_S, MOST_REPORTS, PATH, QUEUED_S, REST_S, Sender
+from grebestand.relays.spread import BACK_S, Other, Spread, spread_on
+from grebestand.settings.platform import Quota
+from grebestand.standin.cluster import STATE, SimulatedCluster, Way
+from grebestand.standin.memory import Clock, Node, World
+from grebestand.standin.seats import Seat
+from grebestand.standin.virtual import VirtualLoop, simulated
+from grebestand.standin.worker import WorkerModel
+from grebestand.states import PassageState
+from grebestand.wire.peers import Batch, Replies
+from grebestand.wire.workers import Orders, Report
+from worlds import SPREAD, back, crash_leader, heal
+
+
+@pytest.fixture
+def loop() -> Iterator[VirtualLoop]:
+    with simulated() as virtual:
+        yield virtual
+
+
+def spread_world(loop: VirtualLoop, seed: int = 1, machines: int = 18, controllers: int = 3) -> SimulatedCluster:
+    """A cluster at work whose controllers all answer reports."""
+    world = SimulatedCluster(loop, seed=seed, machines=machines, controllers=controllers, rules=SPREAD)
+    world.task_s = (3.0, 20.0)
+    world.cancelling = 0.2
+    world.crowd(2.0, 75.0)
+    gevent.sleep(15)
+    return world
+
+
+def kept(world: SimulatedCluster) -> dict[str, int]:
+    return {name: len(node.spread.kept) for name, node in world.nodes.items() if node is not None}
+
+
+def relays(world: SimulatedCluster) -> list[str]:
+    (leader,) = world.leading()
+    return [n for n in world.controllers if n != leader]
+
+
+def test_reports_are_spread_and_each_is_answered_by_the_leader(loop: VirtualLoop) -> None:
+    world = spread_world(loop, machines=30)
+    even = 30 / 3
+    assert all(0.8 * even <= count <= 1.2 * even for count in kept(world).values()), kept(world)
+    asked = Counter[str]()
+    moves = Seat.report_to
+
+    def counted(self: Seat, name: str) -> tuple[int, bytes]:
+        status, body = moves(self, name)
+        asked[f"{status}"] += 1
+        return status, body
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Seat, "report_to", counted)
+        gevent.sleep(30)
+    # nobody is sent to and fro once all have found their place
+    assert asked["200"] > 250 and set(asked) == {"200"}
+    (leader,) = world.leading()
+    node = world.nodes[leader]
+    assert node is not None and node.receiver.reports > 250 and len(world.leaders) == 1
+    assert world.settled(200.0) == []
+
+
+def stop(world: SimulatedCluster, names: list[str], seconds: float) -> None:
+    for name in names:
+        world.crash(name)
+        gevent.spawn_later(seconds, back, world, name)
+
+
+def relay_ends(world: SimulatedCluster) -> None:
+    stop(world, relays(world)[:1], 6.0)
+
+
+def relay_is_back_at_once(world: SimulatedCluster) -> None:
+    stop(world, relays(world)[:1], 0.3)
+
+
+def relays_end(world: SimulatedCluster) -> None:
+    stop(world, relays(world), 5.0)
+
+
+def relay_stands_still(world: SimulatedCluster) -> None:
+    world.freeze(relays(world)[0], 12.0)
+
+
+def relay_loses_the_leader(world: SimulatedCluster, way: Way = Way.HELD, seconds: float = 25.0) -> None:
+    (leader,) = world.leading()
+    relay = relays(world)[0]
+    world.links.set(relay, leader, way)
+    gevent.spawn_later(seconds, world.links.set, relay, leader, Way.OPEN)
+
+
+def relay_is_refused(world: SimulatedCluster) -> None:
+    relay_loses_the_leader(world, Way.REFUSED)
+
+
+def batches_are_lost(world: SimulatedCluster) -> None:
+    (leader,) = world.leading()
+    for relay in relays(world):
+        world.links.ways[relay, leader] = Way.ASKS_LOST
+    gevent.spawn_later(25.0, world.links.heal)
+
+
+def answers_to_batches_are_lost(world: SimulatedCluster) -> None:
+    (leader,) = world.leading()
+    for relay in relays(world):
+        world.links.ways[leader, relay] = Way.ANSWERS_LOST
+    gevent.spawn_later(25.0, world.links.heal)
+
+
+def relay_is_slow(world: SimulatedCluster) -> None:
+    relay_loses_the_leader(world, Way.SLOW)
+
+
+def relay_loses_its_workers(world: SimulatedCluster) -> None:
+    relay = relays(world)[0]
+    for zone in "ab":
+        world.links.set(relay, zone, Way.HELD)
+    gevent.spawn_later(25.0, world.links.heal)
+
+
+def relay_loses_the_state_service(world: SimulatedCluster) -> None:
+    relay = relays(world)[0]
+    world.links.set(relay, STATE, Way.HELD)
+    gevent.spawn_later(25.0, world.links.heal)
+
+
+def leader_ends(world: SimulatedCluster) -> None:
+    crash_leader(world, 6.0)
+
+
+def leader_is_back_at_once(world: SimulatedCluster) -> None:
+    crash_leader(world, 0.3)
+
+
+def leader_stands_still(world: SimulatedCluster) -> None:
+    world.freeze(world.leading()[0], 20.0)
+
+
+def leader_is_deposed(world: SimulatedCluster) -> None:
+    """Cut from the state service and the others, and not from its workers; jobs are cancelled through the next."""
+    (leader,) = world.leading()
+    for far in (STATE, *relays(world)):
+        world.links.set(leader, far, Way.HELD)
+    gevent.spawn_later(20.0, world.cancel_now, 4)
+    gevent.spawn_later(40.0, world.links.heal)
+
+
+def leader_gives_way(world: SimulatedCluster) -> None:
+    node = world.nodes[world.leading()[0]]
+    assert node is not None
+    gevent.spawn(node.handover._give_way, "played", "")
+
+
+def leader_and_relay_end(world: SimulatedCluster) -> None:
+    stop(world, [world.leading()[0], relays(world)[0]], 5.0)
+
+
+def all_at_once(world: SimulatedCluster) -> None:
+    relay_loses_its_workers(world)
+    leader_ends(world)
+    world.copies = 0.3
+    world.late_orders = 0.5
+
+
+FAILURES: list[Callable[[SimulatedCluster], None]] = [
+    relay_ends, relay_is_back_at_once, relays_end, relay_stands_still, relay_loses_the_leader, relay_is_refused,
+    batches_are_lost, answers_to_batches_are_lost, relay_is_slow, relay_loses_its_workers,
+    relay_loses_the_state_service, leader_ends, leader_is_back_at_once, leader_stands_still, leader_is_deposed,
+    leader_gives_way, leader_and_relay_end, all_at_once,
+]  # fmt: skip
+
+
+def after(world: SimulatedCluster, failure: Callable[[SimulatedCluster], None], seconds: float = 50.0) -> list[str]:
+    """What was broken or lost by the time that all is over."""
+    failure(world)
+    gevent.sleep(6)
+    if world.leading():
+        world.cancel_now(3)
+    gevent.sleep(seconds)
+    heal(world)
+    return world.settled(400.0)
+
+
+@pytest.mark.parametrize("failure", FAILURES)
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_rule_breaks_and_nothing_is_lost(
+    loop: VirtualLoop, failure: Callable[[SimulatedCluster], None], seed: int
+) -> None:
+    world = spread_world(loop, seed, controllers=3 if seed == 1 else 5)
+    assert after(world, failure) == []
+    assert not world.both
+
+
+@pytest.mark.parametrize("failure", [relay_ends, relay_loses_the_leader, relay_stands_still, relay_is_slow])
+def test_what_befalls_a_relay_costs_no_lease_and_no_leader(
+    loop: VirtualLoop, failure: Callable[[SimulatedCluster], None]
+) -> None:
+    """Its workers go to the others, and what runs goes on."""
+    world = spread_world(loop)
+    failure(world)
+    gevent.sleep(35)
+    assert world.killed == 0 and len(world.leaders) == 1
+    assert world.longest_pause(15.0, 45.0) < 9.0
+
+
+def test_a_leader_that_no_worker_reaches_leads_on_over_the_others(loop: VirtualLoop) -> None:
+    """Alone it would have had to give way: one change of leader less."""
+    world = spread_world(loop)
+    (leader,) = world.leading()
+    for zone in "ab":
+        world.links.set(leader, zone, Way.HELD)
+    gevent.sleep(40)
+    assert world.leading() == [leader] and len(world.leaders) == 1 and world.killed == 0
+
+
+def test_relays_keep_their_workers_while_the_leader_changes(loop: VirtualLoop) -> None:
+    world = spread_world(loop, machines=30)
+    before = kept(world)
+    leader_gives_way(world)
+    gevent.sleep(12)
+    assert len(world.leaders) == 2 and world.killed == 0
+    assert all(abs(count - before[name]) <= 4 for name, count in kept(world).items()), (before, kept(world))
+
+
+def test_one_that_comes_back_fills_up_bit_by_bit(loop: VirtualLoop) -> None:
+    """All at once they would take the one that is back for the answer to everything."""
+    world = spread_world(loop, machines=60)
+    name = relays(world)[0]
+    world.crash(name)
+    gevent.sleep(10)
+    back(world, name)
+    counts = []
+    for _ in range(30):
+        gevent.sleep(1)
+        counts.append(kept(world)[name])
+    assert max(b - a for a, b in itertools.pairwise(counts)) <= 10
+    assert 0.7 * 20 <= counts[-1] <= 1.2 * 20
+
+
+def relay_loses_it_for_long(world: SimulatedCluster) -> None:
+    relay_loses_the_leader(world, seconds=90.0)
+
+
+# breaks made on purpose, found by the checks of the simulated cluster
+
+
+def answers_from_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A relay gives the answer before last once more, where the leader gives none in time."""
+    told: dict[str, tuple[int, bytes]] = {}
+    pass_on = Sender.pass_on
+
+    def remembering(self: Sender, body: bytes, came_at: float) -> tuple[int, bytes]:
+        machine = json.loads(body)["vessel"]
+        status, said = pass_on(self, body, came_at)
+        if status == 200:
+            told[machine] = status, said
+            return status, said
+        return told.get(machine, (status, said))
+
+    monkeypatch.setattr(Sender, "pass_on", remembering)
+    monkeypatch.setattr(Sender, "open", lambda self: True)
+
+
+def answers_without_authority(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A leader goes on answering batches, whatever its own authority is."""
+    answered = Receiver._answered
+
+    def always(self: Receiver, batch: Batch) -> Replies:
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(Leadership, "entitled", lambda lead: lead is self.leadership or lead.authority_until > 0)
+            return answered(self, batch)
+
+    monkeypatch.setattr(Receiver, "_answered", always)
+    monkeypatch.setattr(Leadership, "check_clock", lambda self: None)
+
+
+@pytest.mark.parametrize("break_it", [answers_from_memory, answers_without_authority])
+def test_a_break_made_on_purpose_is_found(
+    monkeypatch: pytest.MonkeyPatch, break_it: Callable[[pytest.MonkeyPatch], None]
+) -> None:
+    break_it(monkeypatch)
+    found: list[str] = []
+    for seed, failure in itertools.product(range(3), (relay_loses_it_for_long, leader_is_deposed)):
+        with simulated() as loop:
+            world = spread_world(loop, seed)
+            world.task_s = (20.0, 90.0)
+            found += after(world, failure, seconds=90.0)
+    assert found
+
+
+# the parts alone
+
+
+class Leader:
+    """A leader at the other end: answers what it is told to."""
+
+    def __init__(self, answer: Callable[[Batch], Replies]) -> None:
+        self.answer = answer
+        self.batches: list[Batch] = []
+
+    def request(self, method: str, path: str, body: bytes, timeout: float) -> tuple[int, bytes]:
+        assert (method, path) == ("POST", PATH)
+        batch = msgspec.msgpack.decode(body, type=Batch)
+        self.batches.append(batch)
+        with gevent.Timeout(timeout, False):
+            return 200, msgspec.msgpack.encode(self.answer(batch))
+        raise Unreachable("timeout")
+
+
+def passing(loop: VirtualLoop, answer: Callable[[Batch], Replies]) -> tuple[Sender, Leader]:
+    leader = Leader(answer)
+    peer = Peer("node-0", leader)
+    sender = Sender("node-1", lambda: loop.time, lambda: peer)
+    gevent.spawn(sender.run)
+    return sender, leader
+
+
+def echo(batch: Batch) -> Replies:
+    return Replies([(200, body) for body in batch.reports])
+
+
+def test_reports_that_come_together_go_together_and_each_has_its_own_answer(loop: VirtualLoop) -> None:
+    sender, leader = passing(loop, echo)
+    asked = [gevent.spawn(sender.pass_on, b"%d" % i, loop.time) for i in range(600)]
+    gevent.joinall(asked)
+    assert [g.value for g in asked] == [(200, b"%d" % i) for i in range(600)]
+    assert [len(b.reports) for b in leader.batches] == [MOST_REPORTS, MOST_REPORTS, 600 - 2 * MOST_REPORTS]
+
+
+def test_an_answer_that_is_too_old_is_given_to_nobody(loop: VirtualLoop) -> None:
+    """A relay that stood still: by its own clock the report came long ago."""
+
+    def late(batch: Batch) -> Replies:
+        gevent.sleep(2.0)
+        return echo(batch)
+
+    sender, _ = passing(loop, late)
+    assert sender.pass_on(b"new", loop.time) == (200, b"new")
+    assert sender.pass_on(b"old", loop.time - ANSWER_S + 1.0) == (0, b"")
+
+
+def test_a_leader_that_is_late_gets_no_more_than_it_can_take(loop: VirtualLoop) -> None:
+    def slow(batch: Batch) -> Replies:
+        gevent.sleep(1.9)
+        return Replies([(200, b"")] * len(batch.reports), late=True)
+
+    sender, leader = passing(loop, slow)
+    for _ in range(BATCHES):
+        gevent.spawn(sender.pass_on, b"", loop.time)
+        gevent.sleep(0.1)
+    gevent.spawn(sender.pass_on, b"waits", loop.time)
+    gevent.sleep(0.1)
+    assert len(leader.batches) == BATCHES  # and no more are under way
+    gevent.sleep(QUEUED_S)
+    assert sender.pass_on(b"", loop.time) == (503, b"")  # at once
+
+
+def test_a_leader_that_does_not_answer_is_left_alone_for_a_while(loop: VirtualLoop) -> None:
+    def silent(batch: Batch) -> Replies:
+        gevent.sleep(1e6)
+        return echo(batch)
+
+    sender, leader = passing(loop, silent)
+    assert sender.open() and sender.pass_on(b"", loop.time) == (0, b"")
+    assert loop.time >= DOWN_S and sender.state is PassageState.RESTING and not sender.open()
+    leader.answer = echo
+    gevent.sleep(REST_S)
+    assert sender.open() and sender.pass_on(b"x", loop.time) == (200, b"x")
+
+
+def led() -> tuple[World, Node, Term, Receiver, list[WorkerModel]]:
+    world = World()
+    node = Node(world, "node-0")
+    term = node.lead()
+    workers = [world.worker(f"n-{i:06d}") for i in range(3)]
+    world.settle(term, 3)
+    load = Load(Quota(), world.clock)
+    receiver = Receiver(["node-1"], node.leadership, lambda: node.term, load, world.clock, lambda: None)
+    return world, node, term, receiver, workers
+
+
+def asked(receiver: Receiver, *reports: bytes, sender: str = "node-1") -> list[tuple[int, bytes]]:
+    answer = receiver.answer(msgspec.msgpack.encode(Batch(sender, list(reports))))
+    return msgspec.msgpack.decode(answer, type=Replies).answers
+
+
+def test_a_batch_is_read_and_answered_like_so_many_reports() -> None:
+    world, node, term, receiver, workers = led()
+    world.accept(node, shards=30)
+    term.pace.step(world.clock.now + 10.0)
+    world.clock.now += 1.0
+    answers = asked(receiver, *(msgspec.json.encode(w.report()) for w in workers))
+    orders = [msgspec.json.decode(body, type=Orders) for _, body in answers]
+    assert [status for status, _ in answers] == [200] * 3 and {o.token for o in orders} == {term.token}
+    for worker, order in zip(workers, orders, strict=True):
+        worker.obey(order)
+    assert sum(len(w.running()) for w in workers) == 30
+
+
+def test_a_report_that_comes_over_two_controllers_is_taken_once() -> None:
+    world, node, term, receiver, (worker, *_) = led()
+    world.accept(node, shards=4)
+    term.pace.step(world.clock.now + 10.0)
+    body = msgspec.json.encode(worker.report())
+    first, second = (msgspec.json.decode(asked(receiver, body)[0][1], type=Orders) for _ in range(2))
+    assert [c.op for c in first.commands].count("start") == 4 and second.commands == []
+
+
+def test_nonsense_in_a_batch_is_its_own_affair(caplog: pytest.LogCaptureFixture) -> None:
+    _, _, _, receiver, workers = led()
+    good = msgspec.json.encode(workers[0].report())
+    strange = msgspec.json.encode(msgspec.structs.replace(workers[1].report(), machine=""))
+    large = b" " * (1 << 16) + good
+    deep = b'{"shards":' + b"[" * 30_000
+    answers = asked(receiver, b"{", good, b"\xff", large, deep, b"[]")
+    assert [status for status, _ in answers] == [400, 200, 400, 400, 400, 400]
+    assert asked(receiver, strange)[0][0] in (200, 400) and asked(receiver) == []
+    assert "failed" not in caplog.text
+
+
+def test_what_is_no_batch_of_another_controllers_is_refused_and_told_of_now_and_then(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    world, _, _, receiver, workers = led()
+    body = msgspec.json.encode(workers[0].report())
+    many = msgspec.msgpack.encode(Batch("node-1", [b"{}"] * (MOST_REPORTS + 1)))
+    whole = msgspec.msgpack.encode(Batch("node-1", [b" " * (1 << 19)] * 4))
+    strange = msgspec.msgpack.encode(Batch("somebody", [body]))
+    for wrong in (b"", b"\xc1", msgspec.msgpack.encode([1, 2]), many, whole, strange) * 3:
+        with pytest.raises(Refused):
+            receiver.answer(wrong)
+    assert caplog.text.count("a batch of reports was refused") == 1 and receiver.reports == 0
+    world.clock.now += 11.0
+    with pytest.raises(Refused):
+        receiver.answer(strange)
+    assert caplog.text.count("a batch of reports was refused") == 2
+
+
+def test_a_controller_that_may_not_answer_says_so_of_each_report() -> None:
+    world, node, _, receiver, workers = led()
+    body = msgspec.json.encode(workers[0].report())
+    world.clock.now += 30.0  # its hold was not renewed
+    assert asked(receiver, body) == [(503, b"")]
+    node.term = None
+    assert asked(receiver, body, body) == [(421, b"")] * 2
+
+
+def test_authority_that_ends_while_a_batch_waits_takes_its_answers_with_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    world, _, term, receiver, workers = led()
+
+    def long(begun: object) -> None:
+        world.clock.now += 30.0
+
+    monkeypatch.setattr(term, "cover_checkins", long)
+    assert asked(receiver, msgspec.json.encode(workers[0].report())) == [(503, b"")]
+
+
+class Neighbours:
+    """Spread of one controller among others that say what they keep."""
+
+    def __init__(self, *others: Other, limit: int = 1000, machines: int = 300) -> None:
+        self.clock = Clock()
+        self.others = list(others)
+        self.spread = Spread("node-0", "a", limit, 3.0, self.clock, lambda: self.others)
+        self.spread.told(machines)
+
+    def arrive(self, count: int, zone: str = "a", first: int = 0) -> Counter[str | None]:
+        places = Counter[str | None]()
+        for i in range(first, first + count):
+            to = self.spread.where(f"n-{i}", zone, leads=False)
+            if to == "node-0":
+                self.spread.keep(f"n-{i}")
+            places[to] += 1
+        return places
+
+
+def test_each_keeps_its_share_and_sends_on_what_comes_on_top() -> None:
+    near, far = Other("near", "a", True, 0, 900), Other("far", "b", False, 0, 900)
+    world = Neighbours(near, far)
+    places = world.arrive(300)
+    # its own zone's others first, then whoever has room; the leader's share is a little less
+    assert 100 <= places["node-0"] <= 120 and 80 <= places["near"] <= 100 and 80 <= places["far"] <= 120
+    # a worker that is kept stays
+    assert world.arrive(50) == {"node-0": 50}
+    # those of another zone go there, as long as there is room
+    fresh = Neighbours(near, far)
+    assert fresh.arrive(80, zone="b") == {"far": 80}
+
+
+def test_nobody_is_sent_to_and_fro() -> None:
+    world = Neighbours(Other("near", "a", True, 0, 900))
+    world.arrive(300)
+    sent = [m for m in world.spread.sent][:20]
+    assert [world.spread.where(m, "a", False) for m in sent] == ["node-0"] * 20  # they come back: kept
+    world.clock.now += BACK_S + 1.0
+    world.spread.tidy()
+    assert not world.spread.sent and not world.spread.kept  # nobody has reported for so long
+
+
+def test_one_with_far_too_many_sends_them_away_bit_by_bit() -> None:
+    world = Neighbours()
+    assert world.arrive(300) == {"node-0": 300}
+    world.others = [Other("new", "a", False, 0, 900)]
+    moved = 0
+    for _ in range(40):
+        world.clock.now += 0.5
+        for machine in list(world.spread.kept):
+            to = world.spread.where(machine, "a", False)
+            if to == "new":
+                moved += 1
+            else:
+                world.spread.keep(machine)
+        world.others = [Other("new", "a", False, moved, 900)]
+        world.spread.heard("new")
+        assert moved <= 11 * (world.clock.now - 1000.0) + 11
+    assert 150 <= len(world.spread.kept) <= 180
+
+
+def test_one_without_sockets_keeps_nobody_new() -> None:
+    world = Neighbours(Other("near", "a", True, 290, 3), limit=20)
+    places = world.arrive(40)
+    assert places["node-0"] == 20 and places["near"] == 3 and places[None] == 17
+    assert world.spread.where("n-0", "a", False, surplus=True) is None
+
+
+def test_the_spread_is_switched_by_the_policy_and_stays_for_a_while() -> None:
+    assert not spread_on(lambda n: n > 100, False, 100) and spread_on(lambda n: n > 100, False, 101)
+    assert spread_on(lambda n: n > 100, True, 90) and not spread_on(lambda n: n > 100, True, 80)
+    assert not spread_on(lambda n: True, True, 0)
+
+
+@pytest.mark.parametrize("quota", [800, 1000, 1752, 2470])
+@pytest.mark.parametrize("others", [0, 2, 5])
+def test_all_sockets_together_stay_within_the_quota(quota: int, others: int) -> None:
+    shares = plan(Quota(max_connections=quota), others)
+    beyond = shares.turned_away + shares.backlog
+    assert shares.serving + beyond + 2 * shares.peers + shares.direct < quota
+    assert 0 < shares.workers < shares.serving
+
+
+def test_a_connection_beyond_what_is_held_is_answered_once_and_closed() -> None:
+    ended: list[object] = []
+
+    def app(environ: dict[str, object], start: Callable[..., object]) -> list[bytes]:
+        surplus = bool(environ["grebestand.surplus"])
+        return respond(Answer(503 if surplus else 200, b"{}", close=surplus), start)
+
+    server = listen_bounded("127.0.0.1:1", "here", app, SocketPlan(0, 0, 1, 2, 8, 1), on_end=ended.append)
+    server.address = ("127.0.0.1", 0)
+    server.start()
+    try:
+        asks = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+        held, beyond = (socket.create_connection(("127.0.0.1", server.server_port)) for _ in range(2))
+        held.sendall(asks)
+        assert held.recv(4096).startswith(b"HTTP/1.1 200")
+        beyond.sendall(asks)
+        answer = b"".join(iter(lambda: beyond.recv(4096), b""))
+        assert answer.startswith(b"HTTP/1.1 503") and len(ended) == 1
+        held.sendall(asks)
+        assert held.recv(4096).startswith(b"HTTP/1.1 200")
+        held.close()
+    finally:
+        server.stop(1)
+
+
+def test_direct_orders_have_sockets_of_their_own(loop: VirtualLoop, monkeypatch: pytest.MonkeyPatch) -> None:
+    world = SimulatedCluster(loop, machines=2)
+    node: Controller | None = world.nodes["node-0"]
+    assert node is not None
+    open_now, most = 0, 0
+
+    def hanging(method: str, address: str, path: str, body: bytes, timeout: float) -> tuple[int, bytes]:
+        nonlocal open_now, most
+        open_now += 1
+        most = max(most, open_now)
+        gevent.sleep(timeout)
+        open_now -= 1
+        raise Unreachable("timeout")
+
+    monkeypatch.setattr(node.network, "once", hanging)
+    refused = Counter[str]()
+
+    def order() -> None:
+        try:
+            node._direct("n-000000:1", "/do", b"{}")
+        except Unreachable as e:
+            refused[str(e)] += 1
+
+    gevent.joinall([gevent.spawn(order) for _ in range(300)])
+    assert most == node.sockets.direct and refused["too many direct orders are under way"] == 300 - most
+
+
+def test_a_worker_of_a_report_is_known_by_its_machine() -> None:
+    """The spread goes by the names that reports carry: read here and at the leader, they mean the same worker."""
+    worker = WorkerModel("n-000007", zone="b")
+    report = msgspec.json.decode(msgspec.json.encode(worker.report()), type=Report)
+    assert (report.machine, report.zone) == ("n-000007", "b")
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -18,9 +18,9 @@
 from grebestand.doors.answer import Answer
 from grebestand.doors.users import Known, UserDoor
 from grebestand.leading.leadership import Leadership
-from grebestand.standin.cluster import STATE, SimulatedCluster, Way
+from grebestand.standin.cluster import RULES, STATE, SimulatedCluster, Way
 from grebestand.standin.virtual import simulated
-from worlds import any_report_is_proof, back, heal
+from worlds import SPREAD, any_report_is_proof, back, heal
 
 NODES = ("node-0", "node-1", "node-2")
 ENDS = (STATE, "a", "b", *NODES)
@@ -196,11 +196,11 @@
 
 
 def played(
-    schedule: list[tuple[float, tuple[object, ...]]], seed: int, longest_s: float = 12.0
+    schedule: list[tuple[float, tuple[object, ...]]], seed: int, longest_s: float = 12.0, rules: str = RULES
 ) -> tuple[list[str], list[str]]:
     """What was broken while a schedule ran, and accepted jobs that were not done long after it was over."""
     with simulated() as loop:
-        world = SimulatedCluster(loop, seed=seed, machines=12)
+        world = SimulatedCluster(loop, seed=seed, machines=12, rules=rules)
         world.task_s = (3.0, longest_s)
         world.cancelling = 0.3
         world.crowd(4.0, 30.0 + sum(pause for pause, _ in schedule))
@@ -225,6 +225,15 @@
     assert played(schedule, seed) == ([], [])
 
 
+@seed(int(os.environ.get("SCHEDULE_SEED", "1")))
+@SEARCH
+@given(schedules, st.integers(0, 10_000))
+def test_nor_under_any_schedule_with_reports_over_any_controller(
+    schedule: list[tuple[float, tuple[object, ...]]], seed: int
+) -> None:
+    assert played(schedule, seed, rules=SPREAD) == ([], [])
+
+
 def longer_authority(monkeypatch: pytest.MonkeyPatch) -> None:
     """Authority that is not counted from when the renewal left."""
     extend = Leadership._extend
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -8,9 +8,12 @@
 
 from grebestand.books.machine import Machine
 from grebestand.reports.reading import Reader
-from grebestand.standin.cluster import SimulatedCluster
+from grebestand.standin.cluster import RULES, SimulatedCluster
 from grebestand.wire.workers import Report
 
+#: every controller answers reports, and passes them on to the leader; machines stay as they are
+SPREAD = RULES + "spread_reports = true\n"
+
 
 def back(world: SimulatedCluster, name: str) -> None:
     """A new process under this name, if there is none."""
