--- a/src/grebestand/process/controller.py
+++ b/src/grebestand/process/controller.py
@@ -54,6 +54,8 @@
 RENEW_S = 0.5
 #: a transaction may have so many times as many conditions as changes; one is left to spare
 CONDITIONS = 3
+#: while every controller answers reports, it tells so often how many, in seconds
+REPORTS_TOLD_S = 20.0
 #: another controller that answered a greeting so lately, in seconds, is there to answer reports
 ANSWERING_S = 2.5
 #: cancellations are told to the others so long after the first, in seconds
@@ -406,9 +408,17 @@
 
     def _spread_loop(self) -> None:
         """The leader decides by the policy whether reports are spread; all forget workers that went elsewhere."""
+        told_at = self.clock()
         while True:
             gevent.sleep(1.0)
             self.spread.tidy()
+            if self.spread.machines and self.clock() - told_at >= REPORTS_TOLD_S:
+                told_at = self.clock()
+                log.info(
+                    "reports: %d of %d workers kept, %d reports passed on in %d batches, %d read from others, "
+                    "%d workers sent elsewhere", len(self.spread.kept), self.spread.machines, self.sender.passed,
+                    self.sender.batches, self.receiver.reports, self.spread.redirected,
+                )  # fmt: skip
             term = self.term
             if term is None or not term.loaded or not self.leadership.entitled():
                 continue
