A scale run: real controllers under the load of thousands of hollow workers

Change: `grebestand rehearse scale`. State service (its limits on), cloud, hollow workers, users and one worker beside them are processes of their own on loopback; controllers are started as they are, with the files that they may open limited. Hollow workers speak the workers' protocol over persistent connections and answer direct orders at an address of their own. Half way the leader is killed, at three quarters a controller that answers. Each second processor time, memory and sockets are taken from /proc; the history of workers and users is held against three rules: a task on two machines, an accepted job lost, a team over its limit. The stand-in of the state service finds changes by revision instead of reading its whole log for each watch, ends holds though nobody asks, and has its limit of writes; the cloud's pages its list.

--- a/src/grebestand/commands/rehearse.py
+++ b/src/grebestand/commands/rehearse.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import signal
 import sys
 import time
 from pathlib import Path
@@ -11,8 +12,9 @@
 def add(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
     verb = commands.add_parser("rehearse", help="run real controllers on loopback under faults, and check it")
     verb.add_argument(
-        "name", choices=("federation", "clusters"),
-        help="federation: real controllers of 2 to 4 clusters; clusters: the decisions of 2 to 50, on simulated time",
+        "name", choices=("federation", "clusters", "scale"),
+        help="federation: real controllers of 2 to 4 clusters; clusters: the decisions of 2 to 50, on simulated time; "
+        "scale: real controllers of one cluster under the load of thousands of hollow workers",
     )  # fmt: skip
     verb.add_argument("--seed", type=int, default=7, metavar="N", help="what is drawn: gangs, faults (default 7)")
     verb.add_argument("--clusters", type=int, default=2, metavar="N", help="how many (default 2)")
@@ -25,6 +27,13 @@
     verb.add_argument("--most", type=float, default=105.0, metavar="S", help="end at the latest then (default 105)")
     verb.add_argument("--report", metavar="FILE", help="write the history there (Parquet)")
     verb.add_argument("--keep", metavar="DIR", help="keep settings, keys and logs there")
+    scale = verb.add_argument_group("scale")
+    scale.add_argument("--workers", type=int, default=2600, metavar="N", help="hollow ones (default 2600)")
+    scale.add_argument("--controllers", type=int, default=6, metavar="N", help="real ones (default 6)")
+    scale.add_argument("--teams", type=int, default=710, metavar="N", help="each with its limit (default 710)")
+    scale.add_argument("--rate", type=float, default=1600.0, metavar="R", help="starts a second (default 1600)")
+    scale.add_argument("--seconds", type=float, default=60.0, metavar="S", help="load lasts so long (default 60)")
+    scale.add_argument("--json", metavar="FILE", help="write all figures there")
     check = commands.add_parser("check-history", help="hold a history against the rules")
     check.add_argument("file", metavar="FILE")
 
@@ -54,7 +63,51 @@
     return 0 if verdict.good else 1
 
 
+def _scale(arguments: argparse.Namespace) -> int:
+    import logging
+
+    import gevent
+    import msgspec
+
+    from ..rehearsal.scale import Plan, rehearse
+
+    if not (
+        1 <= arguments.workers <= 10_000 and 2 <= arguments.controllers <= 20 and 1 <= arguments.teams <= 5_000
+        and 0 < arguments.rate <= 10_000 and 5 <= arguments.seconds <= 3600
+    ):  # fmt: skip
+        print(
+            "grebestand: rehearse: --workers must be 1 to 10000, --controllers 2 to 20, --teams 1 to 5000, "
+            "--rate above 0 and at most 10000, --seconds 5 to 3600", file=sys.stderr,
+        )  # fmt: skip
+        return 2
+    logging.getLogger("grebestand").setLevel(logging.ERROR)
+    plan = Plan(
+        workers=arguments.workers, controllers=arguments.controllers, teams=arguments.teams, rate=arguments.rate,
+        seconds=arguments.seconds, seed=arguments.seed,
+    )  # fmt: skip
+    begin = time.monotonic()
+
+    def say(text: str) -> None:
+        print(f"{time.monotonic() - begin:6.1f} s  {text}", file=sys.stderr, flush=True)
+
+    main = gevent.getcurrent()
+    gevent.signal_handler(signal.SIGTERM, lambda: gevent.kill(main, KeyboardInterrupt()))
+    try:
+        outcome = rehearse(plan, say, Path(arguments.keep) if arguments.keep else None)
+    except RuntimeError as e:
+        print(f"grebestand: rehearse: {e}", file=sys.stderr)
+        return 1
+    except KeyboardInterrupt:
+        return 130
+    if arguments.json:
+        Path(arguments.json).write_bytes(msgspec.json.format(msgspec.json.encode(outcome.figures)))
+    print(outcome.line)
+    return 0 if outcome.verdict.good else 1
+
+
 def _rehearse(arguments: argparse.Namespace) -> int:
+    if arguments.name == "scale":
+        return _scale(arguments)
     from ..rehearsal.federation import Plan, rehearse
     from ..rehearsal.history import write
 
--- a/src/grebestand/standin/cloud.py
+++ b/src/grebestand/standin/cloud.py
@@ -5,12 +5,16 @@
 import json
 from collections.abc import Callable
 from typing import Any
+from urllib.parse import parse_qs, urlsplit
 
 import msgspec
 
 from ..outside.http import Unreachable
 from ..wire.cloud import MachineType, MachineTypes
 
+#: machines in one answer
+MOST_LISTED = 500
+
 
 class CloudModel:
     """The cloud's protocol: what was rented is listed only by who plays its machines."""
@@ -49,4 +53,7 @@
             self.deleted += gone
             self.removed(gone)
             return 200, b"{}"
-        return 200, json.dumps({"vessels": self.listed, "truncated": False}).encode()
+        query = {k: v[0] for k, v in parse_qs(urlsplit(path).query).items()}
+        rest = [e for e in self.listed if e["ref"] > query.get("since", "")]
+        most = int(query.get("page", MOST_LISTED))
+        return 200, json.dumps({"vessels": rest[:most], "truncated": len(rest) > most}).encode()
--- a/src/grebestand/standin/processes.py
+++ b/src/grebestand/standin/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import resource
 import signal
 import sys
 from pathlib import Path
@@ -20,14 +21,23 @@
         return int(s.getsockname()[1])
 
 
-class Controllers:
-    """The controllers of one site. Their settings, logs and features' files are in a directory of their own."""
+class ControllerProcesses:
+    """Controllers of one cluster, wherever its state service and cloud are. Settings and logs are in a directory."""
 
-    def __init__(self, site: Site, count: int, root: Path, params: str, policy: str) -> None:
-        self.site = site
+    def __init__(
+        self,
+        names: dict[str, str],
+        outside: dict[str, str],
+        root: Path,
+        params: str,
+        policy: str,
+        descriptors: int | None = None,
+    ) -> None:
+        """`names` with their zones; `outside`: addresses of `cloud` and `state`; `descriptors`: open files of each."""
         self.root = root
         root.mkdir(parents=True, exist_ok=True)
-        self.names = [f"{site.name}-{i}" for i in range(count)]
+        self.names = list(names)
+        self.descriptors = descriptors
         self.addresses = {n: f"{HOST}:{free_port()}" for n in self.names}
         peers = {n: f"{HOST}:{free_port()}" for n in self.names}
         self.features: list[Path] = []
@@ -35,14 +45,15 @@
         (root / "policy.toml").write_text(policy)
         for name in self.names:
             known = "".join(
-                f'[[known]]\nhost_name = "{n}"\narea = "a"\naddress = "{peers[n]}"\n' for n in self.names if n != name
+                f'[[known]]\nhost_name = "{n}"\narea = "{names[n]}"\naddress = "{peers[n]}"\n'
+                for n in self.names
+                if n != name
             )
             (root / f"{name}.toml").write_text(
-                f'host_name = "{name}"\narea = "a"\nserve_on = "{self.addresses[name]}"\n'
-                f'peer_listen = "{peers[name]}"\n{known}[outside]\ncloud = "{site.cloud_address}"\n'
-                f'state = "{site.store.address}"\n[params]\ncount = {count}\n{params}'
+                f'host_name = "{name}"\narea = "{names[name]}"\nserve_on = "{self.addresses[name]}"\n'
+                f'peer_listen = "{peers[name]}"\n{known}[outside]\ncloud = "{outside["cloud"]}"\n'
+                f'state = "{outside["state"]}"\n[params]\ncount = {len(names)}\n{params}'
             )
-        site.controllers = dict(self.addresses)
 
     def start(self, name: str) -> None:
         if self.alive(name):
@@ -57,6 +68,13 @@
             self._running[name] = subprocess.Popen(
                 command, stdin=subprocess.DEVNULL, stdout=out, stderr=out, env=environment, start_new_session=True
             )
+        if self.descriptors is not None:
+            limits = (self.descriptors, self.descriptors)
+            resource.prlimit(self._running[name].pid, resource.RLIMIT_NOFILE, limits)
+
+    def pid(self, name: str) -> int | None:
+        """The process of a controller that is alive."""
+        return self._running[name].pid if self.alive(name) else None
 
     def start_all(self) -> None:
         for name in self.names:
@@ -87,22 +105,6 @@
 
         gevent.spawn(hold)
 
-    def leader(self) -> str | None:
-        """Who leads, by the state service."""
-        found = self.site.store.model.data.get("leader")
-        return str(found[0]["name"]) if found is not None else None
-
-    def ready(self, within_s: float) -> bool:
-        """Waits until a controller leads and machines have reported."""
-        end = self.site.clock() + within_s
-        while self.site.clock() < end:
-            if self.leader() is not None and any(p.token for p in self.site.yard.players.values()):
-                return True
-            if not any(self.alive(name) for name in self.names):
-                return False  # none is left that could
-            gevent.sleep(0.1)
-        return False
-
     def last_words(self) -> str:
         """The last line of each log, for when they do not come up."""
         lines = []
@@ -124,3 +126,30 @@
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
+
+
+class Controllers(ControllerProcesses):
+    """The controllers of one site."""
+
+    def __init__(self, site: Site, count: int, root: Path, params: str, policy: str) -> None:
+        names = {f"{site.name}-{i}": "a" for i in range(count)}
+        outside = {"cloud": site.cloud_address, "state": site.store.address}
+        super().__init__(names, outside, root, params, policy)
+        self.site = site
+        site.controllers = dict(self.addresses)
+
+    def leader(self) -> str | None:
+        """Who leads, by the state service."""
+        found = self.site.store.model.data.get("leader")
+        return str(found[0]["name"]) if found is not None else None
+
+    def ready(self, within_s: float) -> bool:
+        """Waits until a controller leads and machines have reported."""
+        end = self.site.clock() + within_s
+        while self.site.clock() < end:
+            if self.leader() is not None and any(p.token for p in self.site.yard.players.values()):
+                return True
+            if not any(self.alive(name) for name in self.names):
+                return False  # none is left that could
+            gevent.sleep(0.1)
+        return False
--- a/src/grebestand/standin/site.py
+++ b/src/grebestand/standin/site.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import json
+import math
 import random
 import time
 from collections.abc import Callable
 from typing import Any
+from urllib.parse import unquote
 
 import gevent
 import msgspec
@@ -25,6 +28,8 @@
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 409: "Conflict", 410: "Gone", 429: "Too Many Requests",
            503: "Service Unavailable"}  # fmt: skip
 TICK_S = 0.05
+#: how an answer about changes ends that has none
+NO_EVENTS = b'"events": []}'
 
 
 def serve(handle: Callable[[str, str, bytes], tuple[int, bytes]]) -> WSGIServer:
@@ -45,49 +50,64 @@
 class Store:
     """The state service behind HTTP: watches wait, requests are limited, and it can fall silent, refuse or be late."""
 
-    def __init__(self, clock: Callable[[], float], rps: float = 2000.0) -> None:
+    def __init__(self, clock: Callable[[], float], rps: float = 2000.0, write_rps: float = math.inf) -> None:
         self.model = StoreModel(clock)
+        self.model.rps, self.model.write_rps = rps, write_rps
         self.clock = clock
-        self.rps = rps
         self.silent = False
         self.late_s = 0.0
-        self.writes = 0
-        self._second: list[float] = []
+        #: transactions that were made; all requests, those above a limit, and bytes of paths, bodies and answers
+        self.writes = self.requests = self.refused = self.bytes = 0
         self._changed = Event()
+        self._seen = self.model.revision
         self.server = serve(self.handle)
         self.address = f"{HOST}:{self.server.server_port}"
+        gevent.spawn(self._expire)
 
     def handle(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
         while self.silent:
             gevent.sleep(0.1)  # holds are given their full time again when the silence ends (`speak`)
         if self.late_s:
             gevent.sleep(self.late_s)
-        now = self.clock()
-        self._second = [t for t in self._second if now - t < 1.0]
-        if len(self._second) >= self.rps:
-            return 429, b"{}"
-        self._second.append(now)
-        if path.startswith("/changes"):
-            return self._watch(path)
         status, answer = self.model.request(method, path, body, 0.0)
-        if path == "/commit" and status == 200:
-            self.writes += 1
+        if status == 200 and path.startswith("/changes") and answer.endswith(NO_EVENTS):
+            status, answer = self._watch(path)
+        self.requests += 1
+        self.refused += status == 429
+        self.bytes += len(path) + len(body) + len(answer)
+        self.writes += path == "/commit" and status == 200
+        self._tell()
+        return status, answer
+
+    def _tell(self) -> None:
+        """Wakes the watches if anything has changed."""
+        if self.model.revision != self._seen:
+            self._seen = self.model.revision
             self._changed.set()
             self._changed = Event()
-        return status, answer
+
+    def _expire(self) -> None:
+        """Holds end though nobody asks."""
+        while True:
+            gevent.sleep(TICK_S)
+            if not self.silent and not self.model.down:
+                self.model.expire()
+                self._tell()
 
     def _watch(self, path: str) -> tuple[int, bytes]:
-        wait = next((float(x[7:]) for x in path.partition("?")[2].split("&") if x.startswith("waitMs=")), 0.0)
-        end = self.clock() + wait / 1000
+        """Waits for a change under the prefix; nothing has changed there so far."""
+        query = dict(x.split("=", 1) for x in path.partition("?")[2].split("&"))
+        prefix, seen = unquote(query["prefix"]), self.model.revision
+        end = self.clock() + float(query.get("waitMs", 0)) / 1000
         while True:
             changed = self._changed
-            status, answer = self.model.request("GET", path, b"", 0.0)
-            left = end - self.clock()
-            if status != 200 or left <= 0 or b'"events": []' not in answer:
-                return status, answer
-            changed.wait(left)
             while self.silent:
                 gevent.sleep(0.1)
+            events, seen = self.model.events(prefix, seen), self.model.revision
+            left = end - self.clock()
+            if events or left <= 0:
+                return 200, json.dumps({"logline": seen, "events": events}).encode()
+            changed.wait(left)
 
     def speak(self) -> None:
         """Ends a silence: all holds have their full time again."""
--- a/src/grebestand/standin/store.py
+++ b/src/grebestand/standin/store.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+from bisect import bisect_right
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -124,10 +125,14 @@
             since = int(query["since"])
             if len(self.log) >= MOST_LOGGED and since < self.log[0]["stamp"]:
                 return 410, {}
-            events = [e for e in self.log if e["stamp"] > since and self._key(e).startswith(query["prefix"])]
-            return 200, {"logline": self.revision, "events": events}
+            return 200, {"logline": self.revision, "events": self.events(query["prefix"], since)}
         return 404, {}
 
+    def events(self, prefix: str, since: int) -> list[dict[str, Any]]:
+        """Kept changes under a prefix after a revision; the log is in the order of revisions."""
+        begin = bisect_right(self.log, since, key=lambda e: int(e["stamp"]))
+        return [e for e in self.log[begin:] if self._key(e).startswith(prefix)]
+
     @staticmethod
     def _key(event: dict[str, Any]) -> str:
         return str(event.get("set") or event.get("remove"))
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,256 @@
+"""The scale run: its checker, its hollow workers' side of the protocol, and a small run with real controllers."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import gevent
+import msgspec
+import pytest
+from gevent import socket
+from gevent.server import StreamServer
+
+from grebestand.cli import main
+from grebestand.rehearsal.connection import Connection, NoAnswer, Traffic, answer
+from grebestand.rehearsal.figures import quantile, urgent
+from grebestand.rehearsal.hollow import HollowPlan, HollowProcess, Row
+from grebestand.rehearsal.meeting import Meeting, dial
+from grebestand.rehearsal.scale import Plan, ScaleRun
+from grebestand.rehearsal.scale_check import check
+from grebestand.rehearsal.scale_users import Draw, JobRow, LoadPlan
+from grebestand.standin.memory import World
+from grebestand.wire.jobs import Kind, decode_spec
+
+LIMITS = {"red": 2.0}
+
+
+def job(ident: str = "j-1", tasks: int = 2, done: bool = True, **more: Any) -> JobRow:
+    row = JobRow(ident, "red", tasks, 1.0, False, False, 0.0, accepted_at=0.1, last="200")
+    row.done_at = 9.0 if done else None
+    return msgspec.structs.replace(row, **more)
+
+
+def rows(*steps: tuple[float, str, int, str]) -> list[Row]:
+    """(when, what, task, machine) of j-1."""
+    return [Row(at, what, "j-1", i, 1, m, "done" if what == "off" else "") for at, what, i, m in steps]
+
+
+GOOD = rows((1, "on", 0, "m0"), (1, "on", 1, "m1"), (3, "off", 0, "m0"), (3, "off", 1, "m1"))
+
+
+# the checker --------------------------------------------------------------------------------------------------
+
+
+def test_a_history_without_fault_is_good_in_whatever_order_its_rows_come() -> None:
+    verdict = check(reversed(GOOD), [job()], LIMITS)
+    assert verdict.good and not verdict.faults and verdict.unfinished == 0
+
+
+@pytest.mark.parametrize(
+    ("found", "jobs", "counts", "fault"),
+    [
+        # the same task on a second machine, while it is on the first
+        (rows((1, "on", 0, "m0"), (2, "on", 0, "m1"), (3, "off", 0, "m0"), (3, "off", 0, "m1")),
+         [job(tasks=1)], (1, 0, 0), "on m1 while on m0"),
+        # a third task, while the limit is used up
+        ([*GOOD, *rows((2, "on", 2, "m2"), (4, "off", 2, "m2"))],
+         [job(tasks=3)], (0, 0, 1), "3 CPUs at 2.00 s, may have 2"),
+        (GOOD, [job(), job("j-2", done=False, last="404", wrong="accepted and answered 404")],
+         (0, 1, 0), "answered 404"),
+        (GOOD, [job(), job("j-2", done=False, last="0")], (0, 1, 0), "neither done nor known at the end"),
+        (GOOD[:3], [job()], (0, 1, 0), "called done, and 1 of 2 tasks are"),
+        (GOOD, [job(), job("j-2", wrong="was done and is running")], (0, 1, 0), "was done and is running"),
+        ([*GOOD, Row(4, "on", "j-9", 0, 1, "m0")], [job()], (0, 1, 0), "nobody has submitted it"),
+    ],
+)  # fmt: skip
+def test_each_break_is_found(found: list[Row], jobs: list[JobRow], counts: tuple[int, int, int], fault: str) -> None:
+    verdict = check(found, jobs, LIMITS)
+    assert (verdict.twice, verdict.lost, verdict.over_quota) == counts and not verdict.good
+    assert any(fault in f for f in verdict.faults)
+
+
+def test_what_ends_at_a_moment_makes_room_for_what_begins_then() -> None:
+    moved = rows((1, "on", 0, "m0"), (1, "on", 1, "m1"), (2, "off", 0, "m0"), (2, "off", 1, "m1"))
+    again = rows((2, "on", 0, "m2"), (2, "on", 1, "m3"), (3, "off", 0, "m2"), (3, "off", 1, "m3"))
+    assert check([*again, *moved], [job()], LIMITS).good
+
+
+def test_a_job_that_is_known_and_not_done_is_unfinished_and_one_that_was_never_accepted_is_nothing() -> None:
+    verdict = check(GOOD, [job(), job("j-2", done=False), job("j-3", done=False, accepted_at=None, last="0")], LIMITS)
+    assert verdict.good and verdict.unfinished == 1
+
+
+# figures and load ---------------------------------------------------------------------------------------------
+
+
+def test_urgent_waits_count_until_the_last_task_runs_and_to_the_end_if_one_never_does() -> None:
+    found = [Row(1.1, "run", "j-1", 0, 1, "m0"), Row(2.1, "run", "j-1", 1, 1, "m1"), Row(5.0, "run", "j-1", 1, 2, "m2")]
+    told = urgent(found, [job(urgent=True), job("j-2", urgent=True, tasks=1)], 10.1)
+    assert told["never"] == 1
+    assert told["by_size"]["2-16"]["max"] == pytest.approx(2.0)
+    assert told["by_size"]["all"]["max"] == pytest.approx(10.0)
+    assert quantile([3.0, 1.0, 2.0], 0.5) == 2.0 and quantile([], 0.5) is None
+
+
+def test_the_load_is_drawn_from_the_seed_and_every_gang_is_allowed_by_its_team() -> None:
+    def drawn(seed: int) -> list[str]:
+        plan = LoadPlan({}, "", {"red": 16.0, "blue": 64.0}, 100.0, 1.0, (8.0, 12.0), 512, seed)
+        draw, found = Draw(plan), []
+        for i in range(200):
+            spec, row = draw.job(i % 5 == 0)
+            assert spec.kind is not Kind.GANG or spec.tasks <= plan.teams[spec.team]
+            assert (row.tasks, row.team, row.gang) == (spec.tasks, spec.team, spec.kind is Kind.GANG)
+            found.append(f"{spec.team} {spec.kind} {spec.tasks}")
+        return found
+
+    assert drawn(7) == drawn(7) != drawn(8)
+
+
+# hollow workers -----------------------------------------------------------------------------------------------
+
+
+class Controllers:
+    """Two that answer reports as a story says: one sends everybody on, the other gives orders."""
+
+    def __init__(self) -> None:
+        self.reports: list[dict[str, Any]] = []
+        self.signals: list[dict[str, Any]] = []
+        self.token = 5
+        self.servers = {n: StreamServer(("127.0.0.1", 0), self._take(n)) for n in ("east", "west")}
+        for s in self.servers.values():
+            s.start()
+        self.addresses = {n: f"127.0.0.1:{s.server_port}" for n, s in self.servers.items()}
+
+    def _take(self, name: str) -> Any:
+        def handle(method: str, path: str, body: bytes) -> tuple[int, bytes]:
+            if name == "east":
+                return 421, json.dumps({"harborMaster": "west"}).encode()
+            self.reports.append(json.loads(body))
+            return 200, json.dumps({"helm": self.token, "signals": self.signals}).encode()
+
+        return lambda sock, _: answer(sock, handle, Traffic())
+
+
+def until(condition: Any, seconds: float = 10.0) -> None:
+    with gevent.Timeout(seconds):
+        while not condition():
+            gevent.sleep(0.02)
+
+
+def hollow(controllers: Controllers, meeting: Meeting, lease_s: float = 20.0) -> HollowProcess:
+    plan = HollowPlan(
+        [("n-1", "127.0.0.2", "a")], "m16", 16.0, controllers.addresses, meeting.address, 0.6, lease_s, 5.0, 1.0, 7
+    )
+    process = HollowProcess(plan, lambda: None)
+    process.begin()
+    return process
+
+
+def put(meeting: Meeting, **more: Any) -> str:
+    spec = decode_spec(World().job(pullGb=0.0, **more))
+    line = dial(meeting.address, lambda message: None, lambda: None)
+    line.say("put", spec)
+    until(lambda: spec.id in meeting.specs)
+    return spec.id
+
+
+def test_a_hollow_worker_goes_where_it_is_sent_starts_ends_forgets_and_answers_direct_orders() -> None:
+    controllers, meeting = Controllers(), Meeting([])
+    ident = put(meeting, reckonS=0.2)
+    process = hollow(controllers, meeting)
+    start = {"signal": "start", "shard": f"{ident}/0", "launch": 1}
+    controllers.signals = [start, {**start, "shard": "j-77/0"}, {**start, "launch": 2}]
+    until(lambda: any(s.get("wake") == "done" for r in controllers.reports for s in r["shards"]))
+    said = {(s["shard"], s["launch"]): s.get("wake") for s in controllers.reports[-1]["shards"]}
+    assert said == {(f"{ident}/0", 1): "done", ("j-77/0", 1): "no_such", (f"{ident}/0", 2): "busy"}
+    assert [(r.what, r.why) for r in process.rows] == [("on", ""), ("run", ""), ("off", "done")]
+    assert len(meeting.cloud.listed) == 1 and (ident, 0) in meeting.results
+    # directly: a lower token or another session changes nothing, and no lease is renewed
+    ask = Connection(process.machines["n-1"].addr, Traffic())
+    forget = {"signal": "forget", "shard": f"{ident}/0", "launch": 1}
+    for wrong in ({"helm": 4, "watch": 1}, {"helm": 5, "watch": 2}):
+        assert ask.ask("POST", "/do", json.dumps({**wrong, "signals": [forget]}).encode(), 2.0)[0] == 409
+    assert ask.ask("POST", "/do", b'{"signals":[]}', 2.0)[0] == 400
+    controllers.signals = []
+    status, body, _ = ask.ask("POST", "/do", json.dumps({"helm": 6, "watch": 1, "signals": [forget]}).encode(), 2.0)
+    assert status == 200 and len(json.loads(body)["shards"]) == 2 and json.loads(body)["helm"] == 6
+    # the controllers' token is an old one now: their answers are dropped
+    before = process.dropped
+    until(lambda: process.dropped > before)
+    assert ask.ask("GET", "/show", b"", 2.0)[0] == 200
+    ask.close()
+
+
+def test_a_hollow_worker_whose_lease_runs_out_ends_all_and_goes_on_with_the_next_session() -> None:
+    controllers, meeting = Controllers(), Meeting([])
+    ident = put(meeting, reckonS=60.0)
+    process = hollow(controllers, meeting, lease_s=1.5)
+    controllers.signals = [{"signal": "start", "shard": f"{ident}/0", "launch": 1}]
+    until(lambda: len(process.rows) == 2)
+    machine = process.machines["n-1"]
+    controllers.token = 0  # answers that have to be dropped renew nothing
+    until(lambda: machine.session > 1)
+    assert process.rows[2].why == "lease" and process.rows[2].at <= machine.answered_at
+    until(lambda: controllers.reports[-1]["watch"] == machine.session)
+    assert controllers.reports[-1]["shards"] == []
+
+
+def test_gangs_begin_together_and_end_together_and_lose_the_rest_when_one_is_stopped() -> None:
+    controllers, meeting = Controllers(), Meeting([])
+    whole = put(meeting, shape="ensemble", shards=2, reckonS=0.3)
+    process = hollow(controllers, meeting)
+    controllers.signals = [{"signal": "start", "shard": f"{whole}/0", "launch": 1}]
+    until(lambda: len(process.rows) == 1)
+    gevent.sleep(0.5)
+    assert [r.what for r in process.rows] == ["on"]  # it waits for the other
+    controllers.signals.append({"signal": "start", "shard": f"{whole}/1", "launch": 1})
+    until(lambda: len(process.rows) == 6)
+    assert [(r.what, r.why) for r in process.rows[2:]] == [("run", "")] * 2 + [("off", "done")] * 2
+    broken = put(meeting, ref="j-9", shape="ensemble", shards=2, reckonS=30.0)
+    controllers.signals = [{"signal": "start", "shard": f"{broken}/{i}", "launch": 1} for i in range(2)]
+    until(lambda: len(process.rows) == 10)
+    controllers.signals = [{"signal": "stop", "shard": f"{broken}/0", "launch": 1, "mooringS": 0}]
+    until(lambda: len(process.rows) == 12)
+    assert [r.why for r in process.rows[10:]] == ["stopped", "mates_gone"]
+
+
+def test_a_connection_says_in_which_way_nothing_came() -> None:
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        connection = Connection(f"127.0.0.1:{taken.getsockname()[1]}", Traffic())
+        with pytest.raises(NoAnswer, match="refused"):
+            connection.ask("GET", "/", b"", 1.0)
+        assert connection.fresh
+        taken.listen(1)  # taken by nobody
+        with pytest.raises(NoAnswer, match="timeout"):
+            connection.ask("GET", "/", b"", 0.2)
+        assert connection.fresh
+
+
+# the run ------------------------------------------------------------------------------------------------------
+
+
+def test_a_small_run_with_real_controllers_loses_nothing_while_two_of_them_are_killed(tmp_path: Path) -> None:
+    plan = Plan(
+        workers=40, controllers=3, teams=8, rate=30.0, seconds=10.0, hollow=2, task_s=(1.0, 2.0), report_s=1.0,
+        lease_s=8.0, gang_wait_s=10.0, gang_peer_s=2.0, cancel_s=20.0,
+    )  # fmt: skip
+    run = ScaleRun(plan, tmp_path, lambda text: None)
+    outcome = run.run()
+    found = outcome.figures
+    assert outcome.verdict.good, outcome.verdict.faults
+    assert "twice 0, lost 0, over quota 0" in outcome.line and outcome.line.startswith("workers 40, controllers 3, ")
+    assert [k["role"] for k in found["kills"]] == ["leader", "answering"]
+    assert found["starts"] > 0 and found["users"]["done"] > 0
+    assert sum(n.get("200", 0) for n in found["answers"].values()) > 0
+    assert {"leader", "state", "hollow-0", "worker", "users"} <= set(found["windows"]["whole"]["roles"])
+    assert not [h for h in found["hollow"].values() if h["faults"]]
+    assert not any(p.alive for p in run.parts.values())
+    assert run.controllers is not None and not any(run.controllers.alive(n) for n in run.controllers.names)
+
+
+def test_bounds_of_the_scale_run_are_said(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["rehearse", "scale", "--workers", "0"]) == 2
+    assert "--workers must be 1 to 10000" in capsys.readouterr().err
