--- a/src/grebestand/commands/rehearse.py
+++ b/src/grebestand/commands/rehearse.py
@@ -91,7 +91,15 @@
         print(f"{time.monotonic() - begin:6.1f} s  {text}", file=sys.stderr, flush=True)
 
     main = gevent.getcurrent()
-    gevent.signal_handler(signal.SIGTERM, lambda: gevent.kill(main, KeyboardInterrupt()))
+    told: list[bool] = []
+
+    def stop() -> None:
+        if not told:  # a second signal must not break off the ending of what was started
+            told.append(True)
+            gevent.kill(main, KeyboardInterrupt())
+
+    for number in (signal.SIGINT, signal.SIGTERM):
+        gevent.signal_handler(number, stop)
     try:
         outcome = rehearse(plan, say, Path(arguments.keep) if arguments.keep else None)
     except RuntimeError as e:
--- a/src/grebestand/rehearsal/connection.py
+++ b/src/grebestand/rehearsal/connection.py
@@ -31,6 +31,8 @@
     sent: int = 0
     received: int = 0
     messages: int = 0
+    #: requests that could not be read: their connections were closed
+    unreadable: int = 0
 
 
 def _head(data: bytes) -> tuple[str, int, bool]:
@@ -159,7 +161,9 @@
             traffic.sent += len(response)
             if close:
                 return
-    except (OSError, ValueError):
-        return
+    except OSError:
+        return  # the other end is gone
+    except ValueError:
+        traffic.unreadable += 1
     finally:
         sock.close()
--- a/src/grebestand/rehearsal/figures.py
+++ b/src/grebestand/rehearsal/figures.py
@@ -32,8 +32,9 @@
     memory_mb: dict[str, float] = field(default_factory=dict)
     sockets: dict[str, int] = field(default_factory=dict)
     counts: dict[str, dict[str, Any]] = field(default_factory=dict)
-    #: when each part had counted; a late one counts late
+    #: of each controller, reports by how they were answered, and bytes of reports and answers
     answers: dict[str, dict[str, int]] = field(default_factory=dict)
+    bytes_at: dict[str, int] = field(default_factory=dict)
 
 
 def quantile(values: Sequence[float], share: float) -> float | None:
@@ -86,6 +87,7 @@
     sockets: dict[str, int] = defaultdict(int)
     highest: dict[str, float] = defaultdict(float)
     reports: dict[str, dict[str, float]] = defaultdict(lambda: defaultdict(float))
+    report_bytes: dict[str, float] = defaultdict(float)
     for a, b in pairwise(samples):
         seconds = b.at - a.at
         for name in b.cpu_s:
@@ -101,6 +103,7 @@
             if name in controllers:
                 for status, rate in _reports(a, b, name).items():
                     reports[role][status] += rate * seconds
+                report_bytes[role] += b.bytes_at.get(name, 0) - a.bytes_at.get(name, 0)
     roles: dict[str, dict[str, Any]] = {}
     for role in cpu:
         roles[role] = {
@@ -110,6 +113,7 @@
         if role in ("leader", "answering"):
             roles[role]["reports_per_s"] = {s: n / lived[role] for s, n in reports[role].items()}
             roles[role]["messages_per_s"] = sum(n for s, n in reports[role].items() if s != "none") / lived[role]
+            roles[role]["bytes_per_s"] = report_bytes[role] / lived[role]
     for name in (*hollow, "worker", "users"):
         if name in roles:
             roles[name]["messages_per_s"] = _rate(first, last, name, "messages")
@@ -123,14 +127,29 @@
         roles["meeting"]["messages_per_s"] = _rate(first, last, "meeting", "messages")
         roles["meeting"]["cloud_requests_per_s"] = _rate(first, last, "meeting", "cloud_requests")
     seconds = last.at - first.at
+    by_controller = {n: _reports(first, last, n) for n in controllers}
     return {
         "seconds": seconds,
         "roles": roles,
         "reports_per_s": sum(sum(r.values()) for r in reports.values()) / seconds,
+        "answered_by": {n: sum(found[s] for s in STATUSES) for n, found in by_controller.items()},
         "report_bytes_per_s": sum(roles[h]["bytes_per_s"] for h in hollow if h in roles),
     }
 
 
+def slopes(workers: int, controllers: int, rates: dict[str, float], windows: dict[str, Any]) -> list[dict[str, Any]]:
+    """A row for each window and role, for lines through runs of several sizes."""
+    keys = ("cpu_share", "memory_mb", "sockets", "messages_per_s", "bytes_per_s", "writes_per_s")
+    return [
+        {
+            "window": name, "workers": workers, "controllers": controllers, "role": role,
+            "reports_per_s": w["reports_per_s"], "starts_per_s": rates[name], **{k: r[k] for k in keys if k in r},
+        }
+        for name, w in windows.items() if w
+        for role, r in sorted(w["roles"].items())
+    ]  # fmt: skip
+
+
 def starts(rows: Iterable[Row], begin: float, end: float) -> int:
     """Tasks that began to run in this time."""
     return sum(r.what == "run" and begin <= r.at < end for r in rows)
--- a/src/grebestand/rehearsal/hollow.py
+++ b/src/grebestand/rehearsal/hollow.py
@@ -32,6 +32,8 @@
 #: leases are looked at so often, in seconds; what is later than its lease is taken as ended with it
 LEASE_LOOK_S = 0.1
 FETCH_GB_PER_S = 2.0
+#: tasks of an array take between so many times of what their owner estimates
+TAKES = (0.7, 1.3)
 
 _encoder = msgspec.json.Encoder()
 _orders = msgspec.json.Decoder(Orders)
@@ -116,8 +118,8 @@
         self.changed = Event()
         names = list(self.plan.controllers)
         self.at = process.rng.choice(names)
-        self.connection = Connection(self.plan.controllers[self.at], process.traffic)
-        self.server = StreamServer((host, 0), lambda sock, _: answer(sock, self._ordered, process.traffic), backlog=8)
+        self.connection = Connection(self.plan.controllers[self.at], process.reported[self.at])
+        self.server = StreamServer((host, 0), lambda sock, _: answer(sock, self._ordered, process.ordered), backlog=8)
         self.server.start()
         self.addr = f"{host}:{self.server.server_port}"
 
@@ -184,7 +186,8 @@
             held.status.state = T.RUNNING
             self._row("run", held)
             if spec.kind is Kind.ARRAY:
-                gevent.spawn_later(spec.estimate_s, self.finish, held, Why.DONE)
+                takes = spec.estimate_s * self.process.rng.uniform(*TAKES)
+                gevent.spawn_later(takes, self.finish, held, Why.DONE)
 
     def _alone(self, held: Held) -> None:
         self.lease()
@@ -309,7 +312,7 @@
     def _move(self, to: str) -> None:
         self.connection.close()
         self.at = to
-        self.connection.address = self.plan.controllers[to]
+        self.connection.address, self.connection.traffic = self.plan.controllers[to], self.process.reported[to]
 
     def _next(self) -> str:
         names = list(self.plan.controllers)
@@ -363,7 +366,9 @@
         self.plan = plan
         self.clock = time.monotonic
         self.rng = random.Random(plan.seed)
-        self.traffic = Traffic()
+        #: reports and their answers, by controller, and direct orders and theirs
+        self.reported = {n: Traffic() for n in plan.controllers}
+        self.ordered = Traffic()
         self.rows: list[Row] = []
         self.unserved: list[Unserved] = []
         self.sent_at, self.waits = array("d"), array("d")
@@ -444,6 +449,7 @@
 
     def counts(self) -> dict[str, Any]:
         machines = self.machines.values()
+        traffic = [*self.reported.values(), self.ordered]
         return {
             "workers": len(machines),
             "answered": sum(m.token > 0 for m in machines),
@@ -453,9 +459,11 @@
             "late_answers": self.late_answers,
             "lapsed": self.lapsed,
             "direct": self.direct,
-            "sent": self.traffic.sent,
-            "received": self.traffic.received,
-            "messages": self.traffic.messages,
+            "sent": sum(t.sent for t in traffic),
+            "received": sum(t.received for t in traffic),
+            "messages": sum(t.messages for t in traffic),
+            "bytes_at": {n: t.sent + t.received for n, t in self.reported.items()},
+            "unreadable": self.ordered.unreadable,
             "unserved": len(self.unserved),
             "at": {n: sum(m.at == n for m in machines) for n in self.plan.controllers},
         }
--- a/src/grebestand/rehearsal/scale_users.py
+++ b/src/grebestand/rehearsal/scale_users.py
@@ -184,10 +184,10 @@
         at = self.clock()
         while self.loading:
             spec, row = self.draw.job(urgent)
+            self.draw.open[row.team] += row.tasks
             at += (1.0 if urgent else spec.tasks) / rate * self.draw.rng.uniform(0.5, 1.5)
             gevent.sleep(max(0.0, at - self.clock()))
             if self.loading:
-                self.draw.open[row.team] += row.tasks
                 gevent.spawn(self._user, spec, row)
 
     # one user -----------------------------------------------------------------------------------------------
