Relays send on no more workers than there is room for; old garbage by time

Change: who cannot pass reports on sends workers where there is room by the others' greetings, else to the next, and holds those that it keeps while nobody is known to answer. The leader decides on the spread as soon as its records are read. A few more sockets are spared. The old are looked over for cyclic garbage every 30 s, and every two minutes by a controller that is late; the young by count as before, with larger numbers.

Ruled out: 421 by the key, as before the spread: nothing bounds it.

The story of ten workers and a leader with room for two fails without the first change.

--- a/src/grebestand/doors/workers.py
+++ b/src/grebestand/doors/workers.py
@@ -77,14 +77,15 @@
         spread, sender, leads = self.spread, self.sender, self.leadership.entitled()
         if spread is None or sender is None:
             return None
-        if spread.state is SpreadState.LEADER_ONLY or not (leads or sender.open()):
+        if spread.state is SpreadState.LEADER_ONLY:
             if leads and not surplus:
                 spread.keep(report.machine, connection)
-            elif not leads and (leader := self.leadership.known_leader()) is not None and leader != self.name:
-                spread.left(report.machine, connection)
-            if surplus:
-                return Answer(421, _json.encode(Elsewhere()), close=True)
-            return None
+            return Answer(421, _json.encode(Elsewhere()), close=True) if surplus else None
+        if not (leads or sender.open()):
+            if self.term() is not None or not spread.others():
+                return None  # this one is about to lead, or nobody is known to answer: what is kept here waits here
+            # nor is the leader sent all at once: at most as many as it has said that it has room for
+            surplus = True
         to = spread.where(report.machine, report.zone, leads, surplus)
         if to != self.name:
             return Answer(421, _json.encode(Elsewhere(to)), close=True)
@@ -96,7 +97,7 @@
         spread = self.spread
         if spread is None or spread.state is SpreadState.LEADER_ONLY or report.machine not in spread.kept:
             return False
-        return sender.open() or self.leadership.known_leader() in (None, self.name)
+        return sender.open() or not spread.others()
 
     def _passed_on(self, sender: Sender, body: bytes, report: Report) -> Answer:
         """The leader's answer. While it changes the report is kept: the next one, or this controller, may answer it."""
--- a/src/grebestand/limits/sockets.py
+++ b/src/grebestand/limits/sockets.py
@@ -17,7 +17,7 @@
 #: for the direct orders that are under way to workers, at the most
 DIRECT = 100
 #: listeners, files, the event loop's own
-SPARE = 24
+SPARE = 48
 #: connections beyond what is served: they are told at once where else to go, or when to come back
 TURNED_AWAY = 32
 #: connections that the kernel holds until they are accepted
--- a/src/grebestand/process/controller.py
+++ b/src/grebestand/process/controller.py
@@ -25,6 +25,7 @@
 from ..leading.pen import Pen
 from ..leading.term import Term
 from ..limits.budget import Budget
+from ..limits.collection import by_time
 from ..limits.load import LOOK_S, Load
 from ..limits.sockets import BATCHES, CLOUD, GREETINGS, RELAYED, STATE_REQUESTS, STATE_WATCHES, plan
 from ..outside.cloud import CloudClient, CloudError
@@ -222,6 +223,7 @@
         if self.term is not term:
             return
         if self.leadership.state is LeaderState.LOADING:
+            self._decide_spread(term)
             self.leadership.move(LeaderState.LEADING, "records read")
         steps: list[tuple[Callable[[], None], float]] = [
             (term.jobs.watch, 0.0),
@@ -406,6 +408,12 @@
         if self.leadership.state is LeaderState.LOADING:
             self._news.wait(KEPT_S)
 
+    def _decide_spread(self, term: Term) -> None:
+        """The leader's word on whether reports are spread, by the policy and by what its own sockets bear."""
+        machines = len(term.fleet.machines) if self.peers.peers else 0
+        on = spread_on(term.wants_spread, self.spread.machines > 0, machines)
+        self.spread.told(machines if on or machines > self.sockets.workers else 0)
+
     def _spread_loop(self) -> None:
         """The leader decides by the policy whether reports are spread; all forget workers that went elsewhere."""
         told_at = self.clock()
@@ -420,11 +428,8 @@
                     self.sender.batches, self.receiver.reports, self.spread.redirected,
                 )  # fmt: skip
             term = self.term
-            if term is None or not term.loaded or not self.leadership.entitled():
-                continue
-            machines = len(term.fleet.machines) if self.peers.peers else 0
-            on = spread_on(term.wants_spread, self.spread.machines > 0, machines)
-            self.spread.told(machines if on or machines > self.sockets.workers else 0)
+            if term is not None and term.loaded and self.leadership.entitled():
+                self._decide_spread(term)
 
     def _told_lately(self) -> list[str]:
         now = self.clock()
@@ -562,5 +567,6 @@
         for extra in self.features.listeners:
             listen(extra.address, extra.field, extra.app, extra.connections, extra.gate).start()
         self.begin()
+        gevent.spawn(by_time, gevent.sleep, lambda: self.pressure.spare)
         log.info("%s serves on %s", self.settings.name, self.settings.listen)
         server.serve_forever()
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import json
 
 import pytest
@@ -11,6 +12,7 @@
 from grebestand.leading.closing import SHORT_S
 from grebestand.leading.term import Term
 from grebestand.limits.budget import Urgency
+from grebestand.limits.collection import EVERY_S, LATE_TIMES, MIDDLE, NEVER, YOUNG, by_time
 from grebestand.limits.load import RECOVERY_S, Load
 from grebestand.outside.http import Unreachable
 from grebestand.outside.peer import Peer
@@ -217,3 +219,24 @@
     second = world.accept(node, shards=100)
     world.settle(term, 3)
     assert world.records("grants/")[second] == [100, None]
+
+
+def test_the_old_are_looked_over_by_time_and_seldom_by_one_that_is_late(monkeypatch: pytest.MonkeyPatch) -> None:
+    """By count the books of 3,000 machines were gone over every two seconds, a quarter of a second each."""
+    collected: list[float] = []
+    thresholds: list[tuple[int, ...]] = []
+    now = 0.0
+    late_from = 3 * EVERY_S
+
+    def sleep(seconds: float) -> None:
+        nonlocal now
+        now += seconds
+        if now > late_from + 8 * EVERY_S:
+            raise StopIteration
+
+    monkeypatch.setattr(gc, "set_threshold", lambda *counts: thresholds.append(counts))
+    monkeypatch.setattr(gc, "collect", lambda: collected.append(now))
+    with pytest.raises(StopIteration):
+        by_time(sleep, lambda: now <= late_from)
+    assert collected == [EVERY_S * n for n in (1, 2, 3, 3 + LATE_TIMES, 3 + 2 * LATE_TIMES)]
+    assert thresholds == [(YOUNG, MIDDLE, NEVER)]
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -14,6 +14,7 @@
 
 from grebestand.doors.answer import Answer
 from grebestand.doors.server import listen_bounded, respond
+from grebestand.doors.workers import WorkerDoor
 from grebestand.leading.leadership import Leadership
 from grebestand.leading.term import Term
 from grebestand.limits.load import Load
@@ -619,3 +620,23 @@
     worker = WorkerModel("n-000007", zone="b")
     report = msgspec.json.decode(msgspec.json.encode(worker.report()), type=Report)
     assert (report.machine, report.zone) == ("n-000007", "b")
+
+
+def test_one_that_cannot_pass_reports_on_sends_no_more_than_there_is_room_for() -> None:
+    """All at once they took the last sockets of a leader that had just come back."""
+    world, node, *_ = led()
+    node.term = None
+    others = [Other("leader", "a", True, 5, 2)]
+    spread = Spread("node-0", "a", 100, 3.0, world.clock, lambda: others)
+    spread.told(300)
+    sender = Sender("node-0", world.clock, lambda: None)
+    node.leadership.lose("told so")
+    door = WorkerDoor("node-0", node.leadership, lambda: node.term, spread, sender)
+    sent = Counter[str | None]()
+    for i in range(10):
+        worker = WorkerModel(f"n-{i:06d}")
+        spread.keep(worker.name)
+        answer = door.checkin(msgspec.json.encode(worker.report()))
+        assert answer.status == 421 and answer.close
+        sent[json.loads(answer.body).get("harborMaster")] += 1
+    assert sent == {"leader": 2, None: 8}
