Scale run: rows of a process in the order in which things happened, also at the end of a lease

Need: a task that ended in the instant in which it came on, or after its lease had run out, could have been written as ended before it began, and the checker would have failed on it.

Change: times of a process's rows only grow; an end by lease is not before what it ends; a lease is looked at when a description comes. A test holds the command's line and status to the verdict.

--- a/src/grebestand/rehearsal/hollow.py
+++ b/src/grebestand/rehearsal/hollow.py
@@ -93,6 +93,8 @@
     index: int
     spec: JobSpec | None = None
     on: bool = False
+    #: it ends after this at the earliest, also if its lease had run out by then
+    on_at: float = 0.0
     #: the task is done already: its result is kept
     kept: bool = False
 
@@ -126,7 +128,7 @@
     # tasks ------------------------------------------------------------------------------------------------
 
     def _row(self, what: str, held: Held, why: str = "", at: float | None = None) -> None:
-        when = self.process.clock() if at is None else at
+        when = self.process.moment() if at is None else max(at, held.on_at)
         self.process.rows.append(Row(when, what, held.job, held.index, held.status.attempt, self.name, why))
 
     def _start(self, task: str, attempt: int) -> None:
@@ -142,6 +144,7 @@
             self.process.describe(job, index, attempt, lambda spec, kept: self._described(held, spec, kept))
 
     def _described(self, held: Held, spec: JobSpec | None, kept: bool) -> None:
+        self.lease()
         if held.status.state is not T.FETCHING or not self._holds(held):
             return
         if spec is None:
@@ -175,6 +178,7 @@
         assert spec is not None
         held.on = True
         self._row("on", held)
+        held.on_at = self.process.moment()
         self.changed.set()
         if held.kept:
             self._exit(held, Why.DONE)
@@ -365,6 +369,7 @@
     def __init__(self, plan: HollowPlan, ended: Callable[[], None]) -> None:
         self.plan = plan
         self.clock = time.monotonic
+        self._told_at = 0.0
         self.rng = random.Random(plan.seed)
         #: reports and their answers, by controller, and direct orders and theirs
         self.reported = {n: Traffic() for n in plan.controllers}
@@ -383,6 +388,11 @@
         for m in self.machines.values():
             self.line.say("machine", m.name, m.addr, plan.type, m.zone)
 
+    def moment(self) -> float:
+        """The time, later than any that was told before: what a row follows came before it."""
+        self._told_at = max(self.clock(), self._told_at + 1e-6)
+        return self._told_at
+
     def begin(self) -> None:
         for m in self.machines.values():
             m.answered_at = self.clock()
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -13,12 +13,13 @@
 from gevent.server import StreamServer
 
 from grebestand.cli import main
+from grebestand.rehearsal import scale
 from grebestand.rehearsal.connection import Connection, NoAnswer, Traffic, answer
 from grebestand.rehearsal.figures import quantile, urgent
 from grebestand.rehearsal.hollow import HollowPlan, HollowProcess, Row
 from grebestand.rehearsal.meeting import Meeting, dial
-from grebestand.rehearsal.scale import Plan, ScaleRun
-from grebestand.rehearsal.scale_check import check
+from grebestand.rehearsal.scale import Outcome, Plan, ScaleRun
+from grebestand.rehearsal.scale_check import Verdict, check
 from grebestand.rehearsal.scale_users import Draw, JobRow, LoadPlan
 from grebestand.standin.memory import World
 from grebestand.wire.jobs import Kind, decode_spec
@@ -254,3 +255,20 @@
 def test_bounds_of_the_scale_run_are_said(capsys: pytest.CaptureFixture[str]) -> None:
     assert main(["rehearse", "scale", "--workers", "0"]) == 2
     assert "--workers must be 1 to 10000" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(("verdict", "status"), [(Verdict(), 0), (Verdict(twice=1), 1), (Verdict(over_quota=2), 1)])
+def test_the_run_ends_with_one_line_and_a_status_that_follows_the_verdict(
+    verdict: Verdict, status: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    plans: list[Plan] = []
+
+    def played(plan: Plan, *_: object) -> Outcome:
+        plans.append(plan)
+        return Outcome(verdict, "workers 3", {"starts": 4})
+
+    monkeypatch.setattr(scale, "rehearse", played)
+    file = tmp_path / "figures.json"
+    assert main(["rehearse", "scale", "--workers", "3", "--rate", "8", "--json", str(file)]) == status
+    assert capsys.readouterr().out == "workers 3\n" and json.loads(file.read_text()) == {"starts": 4}
+    assert (plans[0].workers, plans[0].controllers, plans[0].teams, plans[0].seconds) == (3, 6, 710, 60.0)
