Late controllers get no more workers; the time from the decision to a start is told

Need: workers are to go by load as well as by sockets; "room to start" also counts waits for a team's limit, so that it cannot tell what reports over other controllers cost.

Change: an overloaded controller is sent nobody while others have room, and keeps nobody new; a further distribution in the line of durations. Half of an answer to a batch, and an answer to something else, are played: none.

--- a/src/grebestand/process/controller.py
+++ b/src/grebestand/process/controller.py
@@ -43,7 +43,7 @@
 from ..settings.expressions import Expressions
 from ..settings.platform import Settings
 from ..settings.policy import VARIABLES
-from ..states import LeaderState, LinkState, MachineState
+from ..states import LeaderState, LinkState, LoadState, MachineState
 from ..wire.jobs import JobView
 from ..wire.peers import Hello, Resigned
 from .handover import Handover
@@ -119,8 +119,9 @@
         self._directs = BoundedSemaphore(self.sockets.direct)
         self.zones = {known.name: known.zone for known in settings.peers}
         self.spread = Spread(
-            settings.name, settings.zone, self.sockets.workers, p.workers.report_s, self.clock, self._answering
-        )
+            settings.name, settings.zone, self.sockets.workers, p.workers.report_s, self.clock, self._answering,
+            lambda: self.pressure.state is LoadState.OVERLOADED,
+        )  # fmt: skip
         self.sender = Sender(settings.name, self.clock, self._leading_peer)
         self.workers = WorkerDoor(settings.name, self.leadership, self._term, self.spread, self.sender)
         peers = []
@@ -387,7 +388,14 @@
         """The other controllers that answer reports, as they said lately."""
         now = self.clock()
         return [
-            Other(p.name, self.zones[p.name], p.last.token > 0, p.last.kept, p.last.room)
+            Other(
+                p.name,
+                self.zones[p.name],
+                p.last.token > 0,
+                p.last.kept,
+                p.last.room,
+                p.last.load == LoadState.OVERLOADED.value,
+            )  # fmt: skip
             for p in self.peers.peers
             if p.last is not None and p.last.room >= 0 and now - p.heard_at < ANSWERING_S
         ]
--- a/src/grebestand/relays/spread.py
+++ b/src/grebestand/relays/spread.py
@@ -44,6 +44,8 @@
     #: workers that it keeps, and how many more its sockets bear
     kept: int
     room: int
+    #: so late that it is to get no more
+    late: bool = False
 
 
 class Spread:
@@ -57,14 +59,17 @@
         report_s: float,
         clock: Callable[[], float],
         others: Callable[[], list[Other]],
+        late: Callable[[], bool] = lambda: False,
     ) -> None:
-        """`limit`: workers whose connections this controller bears; `others`: those that answer reports now."""
+        """`limit`: workers whose connections this controller bears; `others`: those that answer reports now; `late`:
+        whether this one is to get no more while others can."""
         self.name = name
         self.zone = zone
         self.limit = limit
         self.report_s = report_s
         self.clock = clock
         self.others = others
+        self.late = late
         self.state = SpreadState.LEADER_ONLY
         #: machines in all, as the leader counts them, while reports are spread
         self.machines = 0
@@ -151,7 +156,7 @@
             return self.name  # it comes back from where it was sent: nobody is sent to and fro
         free = [(self._free(o, others), o) for o in others]
         near = max((f for f in free if f[1].zone == zone and f[0] >= 1), key=lambda f: f[0], default=None)
-        mine = self.share(leads, others) * SHARE_SLACK + SHARE_FEW
+        mine = 0.0 if self.late() else self.share(leads, others) * SHARE_SLACK + SHARE_FEW
         if not here and room and len(self.kept) < mine and (zone == self.zone or near is None):
             return self.name
         best = near or max((f for f in free if f[0] >= 1), key=lambda f: f[0], default=None)
@@ -168,6 +173,8 @@
 
     def _free(self, other: Other, others: list[Other]) -> float:
         """How many workers another controller is below its share, and bears."""
+        if other.late:
+            return 0.0
         rest = [o for o in others if o is not other]
         leading = other.leads or any(o.leads for o in rest) or all(not o.leads for o in others)
         weights = 1 + len(others) - (1 - LEADER_WEIGHT if leading else 0.0)
--- a/src/grebestand/reports/answers.py
+++ b/src/grebestand/reports/answers.py
@@ -60,6 +60,7 @@
                 place.told_at = now
                 job = place.job
                 self.sketches.add("room to start", now - max(m.freed_at, job.accepted_at))
+                self.sketches.add("decision to start", now - place.made_at)
                 if job.stages is not None:
                     job.stages.sent = now
                 out.append(Command("start", place.name, place.attempt))
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -393,6 +393,20 @@
     assert sender.open() and sender.pass_on(b"x", loop.time) == (200, b"x")
 
 
+def test_half_of_an_answer_is_none(loop: VirtualLoop) -> None:
+    sender, leader = passing(loop, echo)
+    whole = leader.request
+
+    def cut(method: str, path: str, body: bytes, timeout: float) -> tuple[int, bytes]:
+        status, answer = whole(method, path, body, timeout)
+        return status, answer[: len(answer) // 2]
+
+    leader.request = cut  # type: ignore[method-assign]
+    assert sender.pass_on(b"report", loop.time) == (0, b"")
+    leader.answer, leader.request = (lambda batch: Replies([])), whole  # type: ignore[method-assign]
+    assert sender.pass_on(b"report", loop.time) == (0, b"")  # nor is an answer to something else
+
+
 def led() -> tuple[World, Node, Term, Receiver, list[WorkerModel]]:
     world = World()
     node = Node(world, "node-0")
@@ -548,6 +562,17 @@
     assert world.spread.where("n-0", "a", False, surplus=True) is None
 
 
+def test_one_that_is_late_gets_no_more_while_others_can() -> None:
+    late = Other("late", "a", False, 0, 900, late=True)
+    world = Neighbours(late, Other("near", "a", True, 0, 900))
+    assert world.arrive(300)["late"] == 0
+    world = Neighbours(Other("near", "a", False, 0, 900))
+    world.spread.late = lambda: True
+    assert world.arrive(100) == {"near": 100}
+    world.others = []
+    assert world.arrive(10, first=100) == {"node-0": 10}  # better late than not at all
+
+
 def test_the_spread_is_switched_by_the_policy_and_stays_for_a_while() -> None:
     assert not spread_on(lambda n: n > 100, False, 100) and spread_on(lambda n: n > 100, False, 101)
     assert spread_on(lambda n: n > 100, True, 90) and not spread_on(lambda n: n > 100, True, 80)
