--- a/src/grebestand/process/controller.py
+++ b/src/grebestand/process/controller.py
@@ -395,7 +395,7 @@
                 p.last.kept,
                 p.last.room,
                 p.last.load == LoadState.OVERLOADED.value,
-            )  # fmt: skip
+            )
             for p in self.peers.peers
             if p.last is not None and p.last.room >= 0 and now - p.heard_at < ANSWERING_S
         ]
