--- a/src/grebestand/process/controller.py
+++ b/src/grebestand/process/controller.py
@@ -375,6 +375,7 @@
             self._told_lately(),
             len(self.spread.kept),
             self.spread.room if leads or self.sender.open() else -1,
+            self.spread.rate,
             self.spread.machines if leads else 0,
         )
 
@@ -395,6 +396,7 @@
                 p.last.kept,
                 p.last.room,
                 p.last.load == LoadState.OVERLOADED.value,
+                p.last.reports,
             )
             for p in self.peers.peers
             if p.last is not None and p.last.room >= 0 and now - p.heard_at < ANSWERING_S
--- a/src/grebestand/relays/spread.py
+++ b/src/grebestand/relays/spread.py
@@ -1,5 +1,7 @@
 """Which controller keeps which workers: up to its share of them, those of its own zone first, and stable.
 
+Shares are of workers and of reports, since busy machines report up to six times as often as idle ones.
+
 With few machines the leader alone is reported to. Beyond that every controller that reaches the leader keeps workers,
 up to an even share and a little more; whoever comes on top is told of one that has room. Counts of others are as old as
 their last greeting, so what was sent there since is added. No worker is sent away twice within a while, so that two
@@ -30,6 +32,8 @@
 BACK_S = 15.0
 #: one that has not reported for so many report intervals is no longer counted
 GONE_REPORTS = 3.0
+#: with fewer reports a second in all, who answers how many is left to chance; the latest second's weight in the count
+BUSY_PER_S, SMOOTHING = 30.0, 0.2
 #: what is on lasts until the machines are fewer by this part than what switched it on
 STAYS = 1.15
 
@@ -46,6 +50,36 @@
     room: int
     #: so late that it is to get no more
     late: bool = False
+    #: reports that it answers a second
+    reports: float = 0.0
+
+
+class Even:
+    """What everybody's even share is, among this controller and the others that answer."""
+
+    def __init__(self, machines: int, rate: float, leads: bool, others: list[Other]) -> None:
+        self.machines = machines
+        self._weights = sum(LEADER_WEIGHT if one else 1.0 for one in (leads, *(o.leads for o in others)))
+        #: reports a second of all of them
+        self.rate = rate + sum(o.reports for o in others)
+        #: there are enough reports to tell who answers too many
+        self.busy = self.rate >= BUSY_PER_S and machines > 0
+
+    def _part(self, leads: bool) -> float:
+        return (LEADER_WEIGHT if leads else 1.0) / self._weights
+
+    def workers(self, leads: bool) -> float:
+        return self.machines * self._part(leads)
+
+    def reports(self, leads: bool) -> float:
+        return self.rate * self._part(leads)
+
+    def left(self, leads: bool, kept: int, reports: float) -> float:
+        """By how many workers a controller is below its share, and a little more, of workers and of reports."""
+        left = self.workers(leads) * SHARE_SLACK - kept
+        if self.busy:
+            left = min(left, (self.reports(leads) * SHARE_SLACK - reports) * self.machines / self.rate)
+        return left
 
 
 class Spread:
@@ -81,6 +115,9 @@
         #: how many were sent to each other controller since it last said what it keeps
         self._underway: Counter[str] = Counter()
         self._shed_left, self._shed_at = 0.0, clock()
+        #: reports answered here a second, of late
+        self.rate = 0.0
+        self._counted, self._tidied_at = 0, clock()
         #: how many were sent away since this process began
         self.redirected = 0
 
@@ -109,14 +146,9 @@
         """How many more workers this controller's sockets bear."""
         return max(0, self.limit - len(self.kept))
 
-    def share(self, leads: bool, others: list[Other]) -> float:
-        """The even share of a controller, in workers, among this one and the others that answer."""
-        leading = leads or any(o.leads for o in others)
-        weights = 1 + len(others) - (1 - LEADER_WEIGHT if leading else 0.0)
-        return self.machines * (LEADER_WEIGHT if leads else 1.0) / weights
-
     def keep(self, machine: str, connection: object = None) -> None:
         """This worker is answered here."""
+        self._counted += 1
         self.kept[machine] = self.clock(), connection
         if connection is not None:
             self._over[id(connection)] = machine
@@ -134,8 +166,12 @@
             self.left(machine, connection)
 
     def tidy(self) -> None:
-        """Forgets workers that no longer report here, and those sent away long ago."""
+        """Forgets workers that no longer report here, and those sent away long ago. Counts the reports of a while."""
         now = self.clock()
+        if now > self._tidied_at:
+            latest = self._counted / (now - self._tidied_at)
+            self.rate += SMOOTHING * (latest - self.rate)
+            self._counted, self._tidied_at = 0, now
         gone = [m for m, (at, _) in self.kept.items() if now - at > GONE_REPORTS * self.report_s]
         for machine in gone:
             del self.kept[machine]
@@ -148,16 +184,17 @@
         To be asked only while reports are spread. One that comes over a `surplus` connection cannot stay.
         """
         others = self.others()
+        even = Even(self.machines, self.rate, leads, others)
         here = machine in self.kept and not surplus
         room = 0 if surplus else self.room
-        if here and not self._sheds(leads, others):
+        if here and not self._sheds(leads, even, others):
             return self.name
         if not here and machine in self.sent and room:
             return self.name  # it comes back from where it was sent: nobody is sent to and fro
-        free = [(self._free(o, others), o) for o in others]
+        free = [(self._free(o, even), o) for o in others]
         near = max((f for f in free if f[1].zone == zone and f[0] >= 1), key=lambda f: f[0], default=None)
-        mine = 0.0 if self.late() else self.share(leads, others) * SHARE_SLACK + SHARE_FEW
-        if not here and room and len(self.kept) < mine and (zone == self.zone or near is None):
+        takes = not self.late() and even.left(leads, len(self.kept), self.rate) + SHARE_FEW > 0
+        if not here and room and takes and (zone == self.zone or near is None):
             return self.name
         best = near or max((f for f in free if f[0] >= 1), key=lambda f: f[0], default=None)
         if best is None:
@@ -171,15 +208,12 @@
     def _room(self, other: Other) -> int:
         return other.room - self._underway[other.name]
 
-    def _free(self, other: Other, others: list[Other]) -> float:
+    def _free(self, other: Other, even: Even) -> float:
         """How many workers another controller is below its share, and bears."""
         if other.late:
             return 0.0
-        rest = [o for o in others if o is not other]
-        leading = other.leads or any(o.leads for o in rest) or all(not o.leads for o in others)
-        weights = 1 + len(others) - (1 - LEADER_WEIGHT if leading else 0.0)
-        share = self.machines * (LEADER_WEIGHT if other.leads else 1.0) / weights
-        return min(share * SHARE_SLACK - other.kept - self._underway[other.name], float(self._room(other)))
+        left = even.left(other.leads, other.kept, other.reports)
+        return min(left - self._underway[other.name], float(self._room(other)))
 
     def _send(self, machine: str, other: Other) -> str:
         self._underway[other.name] += 1
@@ -189,15 +223,17 @@
         self.redirected += 1
         return other.name
 
-    def _sheds(self, leads: bool, others: list[Other]) -> bool:
-        """Whether one that is kept here goes elsewhere: at a bounded rate, while there are far too many here."""
-        now, share = self.clock(), self.share(leads, others)
+    def _sheds(self, leads: bool, even: Even, others: list[Other]) -> bool:
+        """Whether one that is kept here goes elsewhere: at a bounded rate, while there is far too much here."""
+        now, share = self.clock(), even.workers(leads)
         rate = SHED_PER_S * share + 1.0
         self._shed_left = min(rate, self._shed_left + rate * (now - self._shed_at))
         self._shed_at = now
-        if len(self.kept) <= min(share * SHED_SLACK + SHARE_FEW, float(self.limit)) or self._shed_left < 1.0:
+        many = len(self.kept) > min(share * SHED_SLACK + SHARE_FEW, float(self.limit))
+        busy = even.busy and self.rate > even.reports(leads) * SHED_SLACK
+        if not (many or busy) or self._shed_left < 1.0:
             return False
-        if all(self._free(o, others) < 1 for o in others):
+        if all(self._free(o, even) < 1 for o in others):
             return False
         self._shed_left -= 1.0
         return True
--- a/src/grebestand/wire/peers.py
+++ b/src/grebestand/wire/peers.py
@@ -35,6 +35,8 @@
     #: reaches no leader to pass reports on to
     kept: int = 0
     room: int = -1
+    #: reports that it answers a second, of late
+    reports: float = 0.0
     #: from the leader: the machines whose reports every controller answers; 0: the leader answers all itself
     spread: int = 0
 
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -555,6 +555,27 @@
     assert 150 <= len(world.spread.kept) <= 180
 
 
+def test_one_whose_workers_report_too_often_sends_some_where_fewer_come() -> None:
+    """Counts were even, and the leader, with the busiest machines, answered twice as many reports as others."""
+    world = Neighbours(
+        Other("near", "a", False, 95, 900, reports=40.0), Other("far", "b", False, 95, 900, reports=40.0)
+    )
+    world.spread.machines = 290
+    for i in range(100):
+        world.spread.keep(f"n-{i}")
+    moved = Counter[str | None]()
+    for _ in range(12):
+        world.clock.now += 1.0
+        for machine in list(world.spread.kept) * 2:
+            if machine in world.spread.kept:
+                to = world.spread.where(machine, "a", False)
+                moved[to] += 1
+                if to == "node-0":
+                    world.spread.keep(machine)
+        world.spread.tidy()
+    assert world.spread.rate > 120.0 and 5 <= moved["near"] + moved["far"] <= 14
+
+
 def test_one_without_sockets_keeps_nobody_new() -> None:
     world = Neighbours(Other("near", "a", True, 290, 3), limit=20)
     places = world.arrive(40)
