--- a/src/grebestand/relays/sender.py
+++ b/src/grebestand/relays/sender.py
@@ -48,6 +48,11 @@
     answer: AsyncResult = field(default_factory=AsyncResult)
 
 
+def term_of(leader: Peer) -> tuple[str, int]:
+    """Who leads, and by which token, as it said last."""
+    return leader.name, leader.last.token if leader.last is not None else 0
+
+
 class Sender:
     """One controller's way to the leader for its workers' reports."""
 
@@ -62,7 +67,7 @@
         self._under_way = 0
         #: since when no batch has been answered, while some were sent; until when the leader is left alone
         self._failing_since = math.inf
-        self._rests_until = -math.inf
+        self._rests_until, self._rests_from = -math.inf, ("", 0)
         self._late_until = -math.inf
         #: reports that were passed on, and messages that took
         self.passed = self.batches = 0
@@ -77,9 +82,12 @@
 
     def open(self) -> bool:
         """Whether a report that comes now would be passed on."""
+        leader = self.leader()
+        if self.state is PassageState.RESTING and leader is not None and term_of(leader) != self._rests_from:
+            self.move(PassageState.OPEN, f"another term, of {leader.name}")
         if self.state is PassageState.RESTING and self.clock() >= self._rests_until:
             self.move(PassageState.OPEN, f"left alone for {REST_S:.0f} s")
-        return self.state is PassageState.OPEN and self.leader() is not None
+        return self.state is PassageState.OPEN and leader is not None
 
     def fits(self) -> bool:
         """Whether it would be sent soon; a relay says no at once rather than hold what the leader cannot take."""
@@ -148,17 +156,17 @@
         self.passed += len(batch)
         told = leader.tell(PATH, Batch(self.name, [p.body for p in batch]), Replies, SEND_S)
         if told is None or len(told.answers) != len(batch):
-            self._failed(sent, leader.name)
+            self._failed(sent, leader)
             return None
         self._failing_since = math.inf
         if told.late:
             self._late_until = self.clock() + LATE_S
         return told.answers
 
-    def _failed(self, sent: float, leader: str) -> None:
+    def _failed(self, sent: float, leader: Peer) -> None:
         """No answer. After a while workers are told to go to the leader themselves: they may reach it."""
         self._failing_since = min(self._failing_since, sent)
         if self.state is PassageState.OPEN and self.clock() - self._failing_since >= DOWN_S:
-            self._rests_until = self.clock() + REST_S
+            self._rests_until, self._rests_from = self.clock() + REST_S, term_of(leader)
             self._failing_since = math.inf
-            self.move(PassageState.RESTING, f"{leader} has not answered for {DOWN_S:.0f} s")
+            self.move(PassageState.RESTING, f"{leader.name} has not answered for {DOWN_S:.0f} s")
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -407,6 +407,22 @@
     assert sender.pass_on(b"report", loop.time) == (0, b"")  # nor is an answer to something else
 
 
+def test_a_leader_that_is_gone_is_no_reason_to_leave_the_next_alone(loop: VirtualLoop) -> None:
+    """Its workers were sent to the new leader for as long as the old one would have been left alone."""
+
+    def silent(batch: Batch) -> Replies:
+        gevent.sleep(1e6)
+        return echo(batch)
+
+    old, new = Peer("node-0", Leader(silent)), Peer("node-2", Leader(echo))
+    leads = old
+    sender = Sender("node-1", lambda: loop.time, lambda: leads)
+    gevent.spawn(sender.run)
+    assert sender.pass_on(b"", loop.time) == (0, b"") and not sender.open()
+    leads = new
+    assert sender.open() and sender.pass_on(b"x", loop.time) == (200, b"x")
+
+
 def led() -> tuple[World, Node, Term, Receiver, list[WorkerModel]]:
     world = World()
     node = Node(world, "node-0")
