A leader that answers all keeps no more workers than its sockets bear

Change: it sends on whoever is too many by the plan, and looks four times a second whether reports are to be spread.

--- a/src/grebestand/doors/workers.py
+++ b/src/grebestand/doors/workers.py
@@ -78,9 +78,10 @@
         if spread is None or sender is None:
             return None
         if spread.state is SpreadState.LEADER_ONLY:
-            if leads and not surplus:
+            full = surplus or (leads and report.machine not in spread.kept and not spread.room)
+            if leads and not full:
                 spread.keep(report.machine, connection)
-            return Answer(421, _json.encode(Elsewhere()), close=True) if surplus else None
+            return Answer(421, _json.encode(Elsewhere()), close=True) if full else None
         if not (leads or sender.open()):
             if self.term() is not None or not spread.others():
                 return None  # this one is about to lead, or nobody is known to answer: what is kept here waits here
--- a/src/grebestand/process/controller.py
+++ b/src/grebestand/process/controller.py
@@ -55,6 +55,9 @@
 RENEW_S = 0.5
 #: a transaction may have so many times as many conditions as changes; one is left to spare
 CONDITIONS = 3
+#: the leader looks so often whether reports are to be spread, in seconds: thousands of workers may come within three;
+#: and all look so often at which workers they keep
+DECIDE_S, TIDY_S = 0.25, 1.0
 #: while every controller answers reports, it tells so often how many, in seconds
 REPORTS_TOLD_S = 20.0
 #: another controller that answered a greeting so lately, in seconds, is there to answer reports
@@ -426,10 +429,12 @@
 
     def _spread_loop(self) -> None:
         """The leader decides by the policy whether reports are spread; all forget workers that went elsewhere."""
-        told_at = self.clock()
+        told_at = tidied_at = self.clock()
         while True:
-            gevent.sleep(1.0)
-            self.spread.tidy()
+            gevent.sleep(DECIDE_S)
+            if self.clock() - tidied_at >= TIDY_S:
+                tidied_at = self.clock()
+                self.spread.tidy()
             if self.spread.machines and self.clock() - told_at >= REPORTS_TOLD_S:
                 told_at = self.clock()
                 log.info(
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -684,6 +684,19 @@
     assert (report.machine, report.zone) == ("n-000007", "b")
 
 
+def test_a_leader_that_answers_all_keeps_no_more_than_its_sockets_bear() -> None:
+    """Thousands came within three seconds of its start, before it knew of enough machines to have others answer them:
+    their connections took the last ones to the state service."""
+    world, node, *_ = led()
+    spread = Spread("node-0", "a", 3, 3.0, world.clock, list)
+    door = WorkerDoor("node-0", node.leadership, lambda: node.term, spread, Sender("x", world.clock, lambda: None))
+    workers = [WorkerModel(f"n-{i:06d}") for i in range(5)]
+    for _ in range(2):
+        answers = [door.checkin(msgspec.json.encode(w.report())) for w in workers]
+        assert [a.status for a in answers] == [200, 200, 200, 421, 421] and answers[-1].close
+        assert json.loads(answers[-1].body) == {}
+
+
 def test_one_that_cannot_pass_reports_on_sends_no_more_than_there_is_room_for() -> None:
     """All at once they took the last sockets of a leader that had just come back."""
     world, node, *_ = led()
