--- a/src/grebestand/commands/rehearse.py
+++ b/src/grebestand/commands/rehearse.py
@@ -6,7 +6,11 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
+from typing import TypeVar
+
+T = TypeVar("T")
 
 
 def add(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
@@ -85,11 +89,6 @@
         workers=arguments.workers, controllers=arguments.controllers, teams=arguments.teams, rate=arguments.rate,
         seconds=arguments.seconds, seed=arguments.seed,
     )  # fmt: skip
-    begin = time.monotonic()
-
-    def say(text: str) -> None:
-        print(f"{time.monotonic() - begin:6.1f} s  {text}", file=sys.stderr, flush=True)
-
     main = gevent.getcurrent()
     told: list[bool] = []
 
@@ -100,17 +99,29 @@
 
     for number in (signal.SIGINT, signal.SIGTERM):
         gevent.signal_handler(number, stop)
+    outcome = _played(lambda say, keep: rehearse(plan, say, keep), arguments.keep)
+    if isinstance(outcome, int):
+        return outcome
+    if arguments.json:
+        Path(arguments.json).write_bytes(msgspec.json.format(msgspec.json.encode(outcome.figures)))
+    print(outcome.line)
+    return 0 if outcome.verdict.good else 1
+
+
+def _played(play: Callable[[Callable[[str], None], Path | None], T], keep: str | None) -> T | int:
+    """What came of a rehearsal, whose progress is told on standard error; or the exit status if nothing did."""
+    begin = time.monotonic()
+
+    def say(text: str) -> None:
+        print(f"{time.monotonic() - begin:6.1f} s  {text}", file=sys.stderr, flush=True)
+
     try:
-        outcome = rehearse(plan, say, Path(arguments.keep) if arguments.keep else None)
+        return play(say, Path(keep) if keep else None)
     except RuntimeError as e:
         print(f"grebestand: rehearse: {e}", file=sys.stderr)
         return 1
     except KeyboardInterrupt:
         return 130
-    if arguments.json:
-        Path(arguments.json).write_bytes(msgspec.json.format(msgspec.json.encode(outcome.figures)))
-    print(outcome.line)
-    return 0 if outcome.verdict.good else 1
 
 
 def _rehearse(arguments: argparse.Namespace) -> int:
@@ -138,18 +149,9 @@
         seed=arguments.seed, clusters=arguments.clusters, gangs=arguments.gangs, machines=arguments.machines,
         arrive_s=arguments.arrive, most_s=arguments.most, faults=not arguments.no_faults, federation=not arguments.off,
     )  # fmt: skip
-    begin = time.monotonic()
-
-    def say(text: str) -> None:
-        print(f"{time.monotonic() - begin:6.1f} s  {text}", file=sys.stderr, flush=True)
-
-    try:
-        outcome = rehearse(plan, say, Path(arguments.keep) if arguments.keep else None)
-    except RuntimeError as e:
-        print(f"grebestand: rehearse: {e}", file=sys.stderr)
-        return 1
-    except KeyboardInterrupt:
-        return 130
+    outcome = _played(lambda say, keep: rehearse(plan, say, keep), arguments.keep)
+    if isinstance(outcome, int):
+        return outcome
     if arguments.report:
         write(Path(arguments.report), outcome.history)
     for row in outcome.rows:
