Followers send a leader no more workers between two greetings than it bears

Change: with reports at the leader alone, too, what a follower sends there counts against the room that it told last, divided among the followers; beyond that workers try the next controller a second later.

--- a/src/grebestand/doors/workers.py
+++ b/src/grebestand/doors/workers.py
@@ -69,7 +69,8 @@
             if leader is not None and self.hangs(leader):
                 return Answer(421, _json.encode(Elsewhere()))
         if leader is not None and leader != self.name:
-            return Answer(421, _json.encode(Elsewhere(leader)))
+            named = self.spread is None or self.spread.may_send(leader)
+            return Answer(421, _json.encode(Elsewhere(leader if named else None)))
         return Answer(503, b"{}", retry_after=1)
 
     def _elsewhere(self, report: Report, connection: object, surplus: bool) -> Answer | None:
--- a/src/grebestand/relays/spread.py
+++ b/src/grebestand/relays/spread.py
@@ -34,6 +34,8 @@
 GONE_REPORTS = 3.0
 #: with fewer reports a second in all, who answers how many is left to chance; the latest second's weight in the count
 BUSY_PER_S, SMOOTHING = 30.0, 0.2
+#: so many workers may be sent to a leader between two of its greetings in any case
+FEW_SENT = 20
 #: what is on lasts until the machines are fewer by this part than what switched it on
 STAYS = 1.15
 
@@ -205,6 +207,20 @@
             return self._send(machine, spare) if spare is not None else None
         return self._send(machine, best[1])
 
+    def may_send(self, leader: str) -> bool:
+        """Whether one more worker may be sent to a leader that answers all itself; counts it.
+
+        All followers together send no more between two of its greetings than it has said that it bears: hundreds come
+        within a tenth of a second where everything begins at once.
+        """
+        others = self.others()
+        for other in others:
+            if other.name == leader:
+                if self._underway[leader] >= max(FEW_SENT, other.room // len(others)):
+                    return False
+                self._underway[leader] += 1
+        return True
+
     def _room(self, other: Other) -> int:
         return other.room - self._underway[other.name]
 
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -697,6 +697,17 @@
         assert json.loads(answers[-1].body) == {}
 
 
+def test_all_followers_together_send_a_leader_no_more_than_it_bears() -> None:
+    """Where everything begins at once, several hundred came within a tenth of a second."""
+    leader = Other("leader", "a", True, 900, 240)
+    world = Neighbours(leader, Other("far", "b", False, 0, 900), Other("near", "a", False, 0, 900))
+    assert sum(world.spread.may_send("leader") for _ in range(300)) == 80
+    world.spread.heard("leader")
+    world.others[0] = Other("leader", "a", True, 1140, 0)
+    assert sum(world.spread.may_send("leader") for _ in range(300)) == 20
+    assert world.spread.may_send("nobody knows")
+
+
 def test_one_that_cannot_pass_reports_on_sends_no_more_than_there_is_room_for() -> None:
     """All at once they took the last sockets of a leader that had just come back."""
     world, node, *_ = led()
