--- /dev/null
+++ b/tools/capacity.py
@@ -0,0 +1,925 @@
+"""Works out the figures of docs/CAPACITY.md from the slopes in capacity.toml, which were measured.
+
+    python3 tools/capacity.py --page [--slopes FILE]     prints the tables of the page, between their markers
+    python3 tools/capacity.py --write | --check          writes them into the page, or says where it differs
+
+A figure comes from slopes alone: where one of them is open, so is the figure. Between measured sizes a slope is a
+straight line if its residuals allow it, else it is read off between its points on logarithmic scales; beyond them
+the same is done, and the figure is marked. Every row names the module that carries it, or says that there is none.
+"""
+
+from __future__ import annotations
+
+import argparse
+import math
+import re
+import statistics
+import sys
+import tomllib
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from functools import cache, cached_property
+from pathlib import Path
+from typing import Any
+
+_ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(_ROOT / "src"), str(_ROOT / "target" / "deps")]
+
+from grebestand.clocks import DRIFT, MARGIN_S  # noqa: E402
+from grebestand.doors.peers import IMAGES_S  # noqa: E402
+from grebestand.federation.breaker import LONGEST_S  # noqa: E402
+from grebestand.leading.pace import ARRIVAL_GAP_S, MOST_REST_S, PASS_GAP_S, PASS_REST, TARGETS_REST  # noqa: E402
+from grebestand.leading.proof import MOST_ASKED  # noqa: E402
+from grebestand.leading.rentals import MOST_RENTED  # noqa: E402
+from grebestand.process.controller import RENEW_S, TELL_S  # noqa: E402
+from grebestand.records.finals import TERMINAL_KEPT  # noqa: E402
+
+SLOPES, PAGE, CODE = _ROOT / "tools" / "capacity.toml", _ROOT / "docs" / "CAPACITY.md", _ROOT / "src" / "grebestand"
+MEASURED, WORKED_OUT, OPEN = "measured", "worked out", "open"
+#: a straight line is one if it misses no median by more than this share
+STRAIGHT = 0.15
+#: a worker sends changes no closer together than this, by the protocol
+CHANGE_S = 0.5
+#: a report's interval is drawn within this share of it, by the protocol
+JITTER = 0.25
+#: between two greetings of a controller to another, at most, and how long one may take (process/controller, peer)
+GREETING_S, GREETING_TIMEOUT_S = 1.1, 1.0
+#: a watch is asked again after this, at the latest, with newer knowledge for starts (leading/knowledge)
+WATCH_S = 1.0
+#: pause between two looks at what lacks a grant (process/controller), and how long a report waits for one
+COVER_S, GRANT_WAIT_S = 0.1, 0.25
+#: the longest stretch that the decision side may take without a yield
+STRETCH_S = 0.2
+#: of its sockets, a controller serves workers and users with so many (process/controller)
+SERVED = 0.75
+#: a relay gathers reports for so long, takes so many into a batch, and gives an answer up at this age
+BATCH_S, BATCH_REPORTS = 0.04, 256
+#: a share of a quota that moves: giver's commit, taker's, and giver's when it is settled; two questions with answers
+MOVE_WRITES, MOVE_MESSAGES = 3, 4
+
+
+class Open(Exception):
+    """A slope that nobody has measured yet."""
+
+
+class Wrong(Exception):
+    """The file of slopes does not hold together."""
+
+
+def line(xs: list[float], ys: list[float]) -> tuple[float, float]:
+    """Intercept and slope by least squares."""
+    mx, my = statistics.fmean(xs), statistics.fmean(ys)
+    slope = sum((x - mx) * (y - my) for x, y in zip(xs, ys, strict=True)) / sum((x - mx) ** 2 for x in xs)
+    return my - slope * mx, slope
+
+
+@dataclass
+class Slope:
+    name: str
+    unit: str
+    per: str
+    state: str
+    run: str
+    sizes: list[float] = field(default_factory=list)
+    values: list[list[float]] = field(default_factory=list)
+    linear: bool | None = None
+    note: str = ""
+
+    @cached_property
+    def medians(self) -> list[float]:
+        return [statistics.median(v) for v in self.values]
+
+    @property
+    def spread(self) -> float:
+        """The widest range of a size's values, as a share of their median."""
+        return max(((max(v) - min(v)) / m for v, m in zip(self.values, self.medians, strict=True) if m), default=0.0)
+
+    @property
+    def residual(self) -> float:
+        """How far the straight line misses a median, at worst, as a share of it."""
+        a, b = line(self.sizes, self.medians)
+        return max(abs(a + b * x - y) / y for x, y in zip(self.sizes, self.medians, strict=True))
+
+    def check(self) -> None:
+        if self.state not in (MEASURED, OPEN) or not self.run:
+            raise Wrong(f"{self.name}: state {self.state!r}, run {self.run!r}")
+        if (self.state == OPEN) != (not self.values) or len(self.sizes) != len(self.values):
+            raise Wrong(f"{self.name}: {self.state}, with {len(self.sizes)} sizes and {len(self.values)} values")
+        if self.sizes != sorted(set(self.sizes)) or any(not v for v in self.values):
+            raise Wrong(f"{self.name}: sizes in order, and values for each")
+        if (self.linear is None) != (len(self.sizes) < 3):
+            raise Wrong(f"{self.name}: whether it is linear is told from three sizes on")
+        if self.linear is not None and self.linear != (self.residual <= STRAIGHT):
+            raise Wrong(f"{self.name}: linear = {self.linear}, but a line misses by {self.residual:.0%}")
+
+    def beyond(self, x: float) -> bool:
+        """Whether a size lies outside of what was measured; of one size only, everything else does."""
+        return bool(self.sizes and not self.sizes[0] <= x <= self.sizes[-1])
+
+    def at(self, x: float) -> float:
+        if self.state == OPEN:
+            raise Open(self.name)
+        xs, ys = self.sizes, self.medians
+        if len(xs) == 1:
+            return ys[0]
+        if self.linear or len(xs) == 2 or xs[0] <= 0:
+            a, b = line(xs, ys)
+            return a + b * x
+        i = next((i for i in range(len(xs) - 2) if x < xs[i + 1]), len(xs) - 2)
+        grows = math.log(ys[i + 1] / ys[i]) / math.log(xs[i + 1] / xs[i])
+        return ys[i] * math.exp(grows * math.log(x / xs[i]))
+
+    def told(self) -> str:
+        if self.linear is None:
+            return "one size" if len(self.sizes) == 1 else "two sizes"
+        if self.linear:
+            return f"linear, off by {self.residual:.0%} at most"
+        exponent = line([math.log(x) for x in self.sizes], [math.log(y) for y in self.medians])[1]
+        return f"not linear: grows with the power {exponent:.1f}"
+
+
+@dataclass(frozen=True)
+class Size:
+    """A cluster."""
+
+    name: str
+    workers: float
+    starts_s: float
+    running: float
+    jobs_day: float
+    teams: float
+    controllers: int
+
+
+class Model:
+    """The letter, the limits and the slopes; what a figure was worked out from is noted as it is read."""
+
+    def __init__(self, text: str) -> None:
+        raw: dict[str, Any] = tomllib.loads(text)
+        self.letter, self.split = raw["letter"], raw["split"]
+        self.limits, self.assumed = raw["limits"], raw["assumed"]
+        self.slopes = {s["name"]: Slope(**s) for s in raw["slope"]}
+        if len(self.slopes) != len(raw["slope"]):
+            raise Wrong("a slope's name stands twice")
+        for s in self.slopes.values():
+            s.check()
+        self.used: dict[str, bool] = {}
+
+    def at(self, name: str, x: float = 1.0) -> float:
+        s = self.slopes[name]
+        self.used[name] = self.used.get(name, False) or (len(s.sizes) > 1 and s.beyond(x))
+        return s.at(x)
+
+    def sizes(self) -> list[Size]:
+        t, more = self.letter, self.letter["more"]
+        part = self.split["zones_largest"] / t["zones"]
+
+        def size(name: str, of: float, controllers: int) -> Size:
+            w, s, r, j = (of * t[k] for k in ("workers", "starts_s", "running", "jobs_day"))
+            return Size(name, w, s, r, j, t["teams"], controllers)
+
+        region, whole = self.split["controllers"], t["controllers"]
+        return [
+            size("largest region", part, region),
+            size("region, half as much again", part * more, region),
+            size("all in one cluster", 1.0, whole),
+            size("one cluster, half as much again", more, whole),
+        ]
+
+    # what several rows use ----------------------------------------------------------------------------------
+
+    def reports_a_worker(self, s: Size) -> float:
+        """Reports a second of one worker at the peak: every start and every end is a change, sent at the next moment
+        that is half a second after the last report, and without a change the interval passes."""
+        changes = 2 * s.starts_s / s.workers
+        rest = self.limits["report_s"] - CHANGE_S
+        return float(1 / (CHANGE_S + (1 - math.exp(-changes * rest)) / changes))
+
+    def reports(self, s: Size) -> float:
+        return s.workers * self.reports_a_worker(s)
+
+    def quiet_reports(self, s: Size) -> float:
+        return float(s.workers / self.limits["report_s"])
+
+    def jobs_s(self, s: Size) -> float:
+        return float(s.starts_s / self.assumed["tasks_a_job"])
+
+    def live(self, s: Size) -> float:
+        return float(self.jobs_s(s) * self.assumed["job_s"])
+
+    def tasks_a_worker(self, s: Size) -> float:
+        return s.running / s.workers
+
+    def core_of_a_report(self) -> float:
+        """Seconds of a core that a leader spends for each report, with all that it does beside."""
+        return self.at("leader, processor", 1300) / self.at("leader, reports")
+
+    def decision_core(self, s: Size) -> float:
+        """The books' and the decisions' share of a core, from the decision side alone: reports that bring news, passes
+        one after the other with their rests, and targets as often as arrivals bring them forward."""
+        w = s.workers
+        one_pass, targets = self.at("full pass", w), self.at("targets", w)
+        passes = one_pass / max(PASS_GAP_S, one_pass + min(PASS_REST * one_pass, MOST_REST_S))
+        return (
+            self.reports(s) * self.at("report with an end", w) / 1000
+            + passes
+            + targets / max(ARRIVAL_GAP_S, (1 + TARGETS_REST) * targets)
+        )
+
+    def answer_commands(self, s: Size) -> float:
+        """A start and a forget for each task."""
+        return 2 * s.starts_s / self.reports(s)
+
+    def report_bytes(self, s: Size) -> float:
+        return self.at("report body", self.tasks_a_worker(s))
+
+    def blocks_from(self, core: Callable[[Size], float]) -> float | None:
+        """From how many workers in a cluster on the leader's whole share goes into something, at the peak."""
+        t = self.letter
+
+        def full(workers: float) -> bool:
+            of = workers / t["workers"]
+            size = Size("", workers, of * t["starts_s"], of * t["running"], of * t["jobs_day"], t["teams"], 6)
+            return bool(core(size) > self.limits["core"])
+
+        low, high = 100.0, 100_000.0
+        if not full(high) or full(low):
+            return None
+        while high - low > 1:
+            mid = (low + high) / 2
+            low, high = (low, mid) if full(mid) else (mid, high)
+        return high
+
+
+# urgent work --------------------------------------------------------------------------------------------------
+
+
+def residual(t: float, report_s: float) -> float:
+    """The chance that a machine seen at any moment reports within t: its interval is drawn within a quarter."""
+    a, b = report_s * (1 - JITTER), report_s * (1 + JITTER)
+    if t <= 0:
+        return 0.0
+    if t < a:
+        return t / report_s
+    return 1.0 - max(0.0, b - t) ** 2 / (2 * (b - a)) / report_s
+
+
+def reported(t: float, needed: int, machines: int, report_s: float) -> float:
+    """The chance that `needed` of so many machines have reported within t: all of them for a gang."""
+    p = residual(t, report_s)
+    return sum(math.comb(machines, i) * p**i * (1 - p) ** (machines - i) for i in range(needed, machines + 1))
+
+
+def held(t: float, hold_s: float, report_s: float, from_sent: bool = True) -> float:
+    """The same chance for one machine whose answers are held for so long while it has room.
+
+    While its report is held it can be told at once, between an answer and the next report it cannot. Where the
+    interval counts from when a report was sent, the hold takes its time out of that gap; else the gap stays whole.
+    """
+    a, b = report_s * (1 - JITTER), report_s * (1 + JITTER)
+    steps = 2000
+    within = whole = 0.0
+    for i in range(steps):
+        interval = a + (b - a) * (i + 0.5) / steps
+        gap = max(0.0, interval - hold_s) if from_sent else interval
+        whole += hold_s + gap
+        within += hold_s + min(gap, t)
+    return within / whole if t >= 0 else 0.0
+
+
+def quantile(chance: Callable[[float], float], q: float, most: float) -> float:
+    low, high = 0.0, most
+    for _ in range(40):
+        mid = (low + high) / 2
+        low, high = (low, mid) if chance(mid) >= q else (mid, high)
+    return high
+
+
+# rows -------------------------------------------------------------------------------------------------------------
+
+Value = Callable[[Model, Size], float]
+
+
+@dataclass
+class Row:
+    what: str
+    unit: str
+    value: Value
+    #: modules below src/grebestand/, or what is missing
+    by: tuple[str, ...] | str
+    bound: Value | None = None
+    #: whether the figure is a slope itself, and so measured where its sizes reach
+    direct: bool = False
+
+
+def const(name: str) -> Value:
+    return lambda m, s: m.at(name)
+
+
+NOT_BUILT = "reports over any controller"
+
+LEADER = [
+    Row("reports a second, quiet", "1/s", lambda m, s: m.quiet_reports(s), ("doors/workers.py",)),
+    Row("reports a second, peak", "1/s", lambda m, s: m.reports(s), ("doors/workers.py", "reports/reading.py")),
+    Row("connections of workers, all at the leader", "", lambda m, s: s.workers, ("doors/server.py",),
+        lambda m, s: SERVED * m.limits["sockets"]),
+    Row("bytes read a second, peak", "KB/s",
+        lambda m, s: m.reports(s) * (m.at("report head") + m.report_bytes(s)) / 1e3, ("wire/workers.py",)),
+    Row("bytes answered a second, peak", "KB/s",
+        lambda m, s: m.reports(s) * (m.at("answer head") + m.at("answer body", m.answer_commands(s))) / 1e3,
+        ("reports/answers.py",)),
+    Row("processor, peak, all reports at the leader", "core", lambda m, s: m.reports(s) * m.core_of_a_report(),
+        ("doors/server.py", "leading/checkins.py"), lambda m, s: m.limits["core"]),
+    Row("of it what no relay can take: decisions, by the bench", "core",
+        lambda m, s: m.reports(s) * m.at("decisions of a report") / 1e3, ("decisions/placing.py",),
+        lambda m, s: m.limits["core"]),
+    Row("the same, by the decision side alone", "core", lambda m, s: m.decision_core(s),
+        ("decisions/scheduler.py", "leading/pace.py"), lambda m, s: m.limits["core"]),
+    Row("processor, peak, reports spread evenly, batches not counted", "core",
+        lambda m, s: m.reports(s) * (m.core_of_a_report() / s.controllers
+                                     + (1 - 1 / s.controllers) * m.at("decisions of a report") / 1e3),
+        f"open: {NOT_BUILT}", lambda m, s: m.limits["core"]),
+    Row("batches of reports: reading and answering", "core",
+        lambda m, s: m.reports(s) * m.at("batch of reports") / 1e3, f"open: {NOT_BUILT}"),
+    Row("targets, once", "s", lambda m, s: m.at("targets", s.workers), ("decisions/targets.py",), direct=True),
+    Row("full pass, once, with as much waiting as runs", "s", lambda m, s: m.at("full pass", s.workers),
+        ("decisions/scheduler.py",), direct=True),
+    Row("longest stretch without a yield", "s",
+        lambda m, s: max(m.at("longest stretch of a pass", s.workers), m.at("longest stretch of targets", s.workers)),
+        ("leading/pace.py",), lambda m, s: STRETCH_S, direct=True),
+    Row("taking over: the books, once", "s", lambda m, s: m.at("taking over", s.workers), ("leading/term.py",),
+        direct=True),
+    Row("books: machines, jobs, 25 tasks for each worker", "MB", lambda m, s: m.at("books in all", s.workers),
+        ("books/fleet.py", "books/ledger.py"), direct=True),
+    Row("memory, all reports at the leader, at most", "MB",
+        lambda m, s: m.at("follower, memory") + m.at("books in all", s.workers)
+        + s.workers * m.at("connection and machine") / 1e3,
+        ("books/fleet.py", "doors/server.py"), lambda m, s: m.limits["memory_mb"]),
+]  # fmt: skip
+
+RELAY = [
+    Row("connections of workers: an even share and a tenth", "", lambda m, s: 1.1 * s.workers / s.controllers,
+        f"open: {NOT_BUILT}", lambda m, s: SERVED * m.limits["sockets"]),
+    Row("the same, one controller down", "",
+        lambda m, s: min(s.workers, 1.1 * s.workers / (s.controllers - 1)), f"open: {NOT_BUILT}",
+        lambda m, s: SERVED * m.limits["sockets"]),
+    Row("reports a second, peak, even share", "1/s", lambda m, s: m.reports(s) / s.controllers, f"open: {NOT_BUILT}"),
+    Row("batches a second to the leader", "1/s",
+        lambda m, s: max(min(1 / BATCH_S, m.reports(s) / s.controllers), m.reports(s) / s.controllers / BATCH_REPORTS),
+        f"open: {NOT_BUILT}"),
+    Row("bytes a second to the leader", "KB/s", lambda m, s: m.reports(s) / s.controllers * m.report_bytes(s) / 1e3,
+        f"open: {NOT_BUILT}"),
+    Row("processor, peak: HTTP and sockets of its share, without batches", "core",
+        lambda m, s: m.reports(s) / s.controllers * (m.core_of_a_report() - m.at("decisions of a report") / 1e3),
+        f"open: {NOT_BUILT}", lambda m, s: m.limits["core"]),
+    Row("processor, batches with it", "core", lambda m, s: m.at("relay, processor", m.reports(s) / s.controllers),
+        f"open: {NOT_BUILT}", lambda m, s: m.limits["core"]),
+    Row("memory", "MB", lambda m, s: m.at("relay, resident", s.workers / s.controllers), f"open: {NOT_BUILT}",
+        lambda m, s: m.limits["memory_mb"]),
+]  # fmt: skip
+
+FOLLOWER = [
+    Row("memory", "MB", const("follower, memory"), ("process/controller.py",), lambda m, s: m.limits["memory_mb"]),
+    Row("greetings a second, sent and answered", "1/s", lambda m, s: 2 * (s.controllers - 1) / GREETING_S,
+        ("doors/peers.py",)),
+    Row("bytes of greetings a second, each way, peak", "KB/s",
+        lambda m, s: 2 * (s.controllers - 1) / GREETING_S * m.at("greeting", m.live(s)) / 1e3, ("wire/peers.py",)),
+    Row("bytes a second of the leader's word of images", "KB/s",
+        lambda m, s: (s.controllers - 1) * m.at("word of images", s.workers) / IMAGES_S / 1e3, ("leading/gossip.py",)),
+    Row("requests of the state service a second: the key", "1/s", lambda m, s: 1.0, ("leading/leadership.py",)),
+    Row("cancelled jobs and final states kept", "records", lambda m, s: float(TERMINAL_KEPT), ("records/finals.py",)),
+]  # fmt: skip
+
+USERS = [
+    Row("jobs accepted a second, day's mean", "1/s", lambda m, s: s.jobs_day / 86_400, ("doors/users.py",)),
+    Row("jobs accepted a second, peak", "1/s", lambda m, s: m.jobs_s(s), ("doors/users.py",)),
+    Row("live jobs, peak", "", lambda m, s: m.live(s), ("doors/users.py",)),
+    Row("polls a second, every 5 s each", "1/s", lambda m, s: m.live(s) / 5, ("doors/current.py",)),
+    Row("writes a second of jobs at a follower, of its share", "1/s", lambda m, s: m.jobs_s(s) / s.controllers,
+        ("limits/budget.py",), lambda m, s: 0.3 / max(1, s.controllers - 1) * m.limits["write_rps"]),
+    Row("the same at the rate of the copy on the bench", "1/s",
+        lambda m, s: m.assumed["bench_jobs_s"] * s.workers / m.letter["workers"] / s.controllers,
+        ("limits/budget.py",), lambda m, s: 0.3 / max(1, s.controllers - 1) * m.limits["write_rps"]),
+    Row("processor of polls", "core", lambda m, s: m.live(s) / 5 * m.at("poll of a user") / 1e3, ("doors/users.py",)),
+    Row("processor of submissions", "core", lambda m, s: m.jobs_s(s) * m.at("acceptance of a job") / 1e3,
+        ("doors/users.py",)),
+]  # fmt: skip
+
+STATE = [
+    Row("records of machines", "KB", lambda m, s: s.workers * m.at("machine record") / 1e3, ("records/pages.py",)),
+    Row("keys that they stand on", "", lambda m, s: math.ceil(
+        s.workers * m.at("machine record") / (1024 * m.limits["value_kb"] - 32)), ("records/pages.py",)),
+    Row("live records, peak", "KB", lambda m, s: m.live(s) * m.at("live record", 44) / 1e3, ("records/jobs.py",)),
+    Row("progress: bits of live jobs' tasks, peak", "KB",
+        lambda m, s: m.live(s) * m.assumed["tasks_a_job"] / 8 * 4 / 3 / 1e3, ("leading/progress.py",)),
+    Row("grants of live jobs, peak: half of them on 16 machines", "KB",
+        lambda m, s: m.live(s) * (m.at("grant record", 16) + m.at("grant record", 0)) / 2 / 1e3,
+        ("leading/grants.py", "records/leader.py")),
+    Row("final states after a year", "MB", lambda m, s: 365 * s.jobs_day * m.at("over record", 44) / 1e6,
+        "open: nothing removes them, and the protocol forbids it"),
+    Row("writes a second, peak: accepting and closing", "1/s", lambda m, s: 3 * m.jobs_s(s),
+        ("records/jobs.py", "leading/closing.py"), lambda m, s: m.limits["write_rps"]),
+    Row("the same at the rate of the copy on the bench", "1/s",
+        lambda m, s: 3 * m.assumed["bench_jobs_s"] * s.workers / m.letter["workers"],
+        ("records/jobs.py", "leading/closing.py"), lambda m, s: m.limits["write_rps"]),
+    Row("writes a second, peak: grants and progress", "1/s",
+        lambda m, s: m.at("writes of grants and progress", s.starts_s), ("leading/grants.py", "leading/progress.py"),
+        lambda m, s: m.limits["write_rps"]),
+    Row("requests a second that do not grow: hold, watch, the key", "1/s",
+        lambda m, s: 1 / RENEW_S + 1 / WATCH_S + s.controllers - 1, ("leading/leadership.py", "leading/live_jobs.py"),
+        lambda m, s: m.limits["state_rps"]),
+    Row("requests a second in all, peak", "1/s", lambda m, s: m.at("requests of the state service", s.starts_s),
+        ("outside/state.py",), lambda m, s: m.limits["state_rps"]),
+    Row("processor", "core", lambda m, s: m.at("state service, processor"), ("outside/state.py",)),
+]  # fmt: skip
+
+CLOUD = [
+    Row("machines restarted or replaced a day", "", lambda m, s: m.letter["restarts_day"] * s.workers
+        / m.letter["workers"], ("leading/rentals.py", "leading/returning.py")),
+    Row("requests a second for them, day's mean: one to rent, one to delete", "1/s",
+        lambda m, s: 2 * m.letter["restarts_day"] * s.workers / m.letter["workers"] / 86_400, ("outside/cloud.py",),
+        lambda m, s: 0.8 * m.limits["cloud_rps"]),
+    Row("requests to list all machines", "", lambda m, s: math.ceil(s.workers / 500), ("outside/cloud.py",)),
+    Row("seconds of its budget to list all", "s",
+        lambda m, s: math.ceil(s.workers / 500) / (0.8 * m.limits["cloud_rps"]), ("limits/budget.py",)),
+]  # fmt: skip
+
+WORKER = [
+    Row("reports a second, quiet", "1/s", lambda m, s: m.quiet_reports(s) / s.workers, ("wire/workers.py",)),
+    Row("reports a second, peak", "1/s", lambda m, s: m.reports_a_worker(s), ("wire/workers.py",)),
+    Row("bytes a second, both ways, peak, with the shortest heads", "KB/s",
+        lambda m, s: m.reports_a_worker(s) * (m.at("report head") + m.report_bytes(s) + m.at("answer head")
+                                              + m.at("answer body", m.answer_commands(s))) / 1e3,
+        ("wire/workers.py",), lambda m, s: m.letter["worker_kb_s"]),
+    Row("bytes a second of a real worker process", "KB/s", lambda m, s: m.at("worker, traffic", m.reports_a_worker(s)),
+        ("standin/worker.py",), lambda m, s: m.letter["worker_kb_s"]),
+    Row("processor of a real worker process", "core", lambda m, s: m.at("worker, processor", m.reports_a_worker(s)),
+        ("standin/worker.py",), lambda m, s: m.letter["worker_core"]),
+    Row("memory of a real worker process", "MB", lambda m, s: m.at("worker, resident", m.tasks_a_worker(s)),
+        ("standin/worker.py",), lambda m, s: m.letter["worker_mb"]),
+]  # fmt: skip
+
+LINK = [
+    Row("looks a second of one cluster at three", "1/s", lambda m, s: m.at("looks between clusters", 3),
+        ("federation/link.py", "federation/routing.py"), direct=True),
+    Row("messages of a gang at three clusters", "", lambda m, s: m.at("messages of a gang", 3),
+        ("federation/home.py", "federation/guest.py"), direct=True),
+    Row("gangs a second that may ask", "1/s", lambda m, s: m.assumed["gangs"] * m.jobs_s(s), ("federation/home.py",)),
+    Row("bytes a second, looks and all gangs asking", "KB/s",
+        lambda m, s: (m.at("looks between clusters", 3) + m.assumed["gangs"] * m.jobs_s(s)
+                      * m.at("messages of a gang", 3)) * m.at("message between clusters") / 1e3,
+        ("federation/messages.py",)),
+    Row("quota shares: records, a region's own", "", lambda m, s: s.teams, "open: quotas across regions"),
+    Row("quota shares: records, all regions", "", lambda m, s: s.teams * m.letter["regions"],
+        "open: quotas across regions"),
+    Row("quota shares: bytes, a region's own, at least", "KB", lambda m, s: s.teams * m.at("team record", 710) / 1e3,
+        "open: quotas across regions"),
+    Row("quota shares: writes a second, a day's 1,500 moves within an hour", "1/s",
+        lambda m, s: MOVE_WRITES * m.letter["changes_day"] / 3600, "open: quotas across regions",
+        lambda m, s: m.limits["write_rps"]),
+    Row("quota shares: messages a second then", "1/s",
+        lambda m, s: MOVE_MESSAGES * m.letter["changes_day"] / 3600, "open: quotas across regions"),
+]  # fmt: skip
+
+CONFIGURATION = [
+    Row("records: one for each team", "", lambda m, s: s.teams, "open: versioned configuration"),
+    Row("bytes of them", "KB", lambda m, s: s.teams * m.at("team record", 710) / 1e3, "open: versioned configuration"),
+    Row("bytes of the whole settings as read today", "KB", lambda m, s: m.at("settings", s.teams) / 1e3,
+        ("settings/platform.py",), direct=True),
+    Row("keys if they share pages", "", lambda m, s: math.ceil(
+        s.teams * m.at("team record", 710) / (1024 * m.limits["value_kb"] - 32)), "open: versioned configuration"),
+    Row("changes a second, a day's all within an hour", "1/s", lambda m, s: m.letter["changes_day"] / 3600,
+        "open: versioned configuration"),
+    Row("writes a second for them: the page and the version", "1/s", lambda m, s: 2 * m.letter["changes_day"] / 3600,
+        "open: versioned configuration", lambda m, s: m.limits["write_rps"]),
+    Row("bytes a second to each controller's watch", "KB/s",
+        lambda m, s: m.letter["changes_day"] / 3600 * m.limits["value_kb"] * 1.024, "open: versioned configuration"),
+    Row("reading and checking all of it, processor", "s", lambda m, s: m.at("check of settings", s.teams),
+        ("settings/platform.py", "settings/policy.py"), direct=True),
+]  # fmt: skip
+
+ROLES: dict[str, list[Row]] = {
+    "leader": LEADER,
+    "relay": RELAY,
+    "follower": FOLLOWER,
+    "users": USERS,
+    "state": STATE,
+    "cloud": CLOUD,
+    "worker": WORKER,
+    "link": LINK,
+    "configuration": CONFIGURATION,
+}
+
+
+@dataclass
+class Worked:
+    row: Row
+    values: list[float | None]
+    bounds: list[float | None]
+    state: str
+    #: slopes that it rests on, and whether beyond their sizes
+    used: dict[str, bool]
+    beyond: list[bool]
+    missing: str = ""
+
+    @property
+    def over(self) -> list[bool]:
+        return [
+            v is not None and b is not None and v > b for v, b in zip(self.values, self.bounds, strict=True)
+        ]  # fmt: skip
+
+
+def work_out(row: Row, m: Model) -> Worked:
+    values: list[float | None] = []
+    bounds: list[float | None] = []
+    beyond: list[bool] = []
+    used: dict[str, bool] = {}
+    missing = ""
+    for s in m.sizes():
+        m.used = {}
+        try:
+            values.append(float(row.value(m, s)))
+        except Open as e:
+            values.append(None)
+            missing = str(e)
+        beyond.append(any(m.used.values()))
+        for name, far in m.used.items():
+            used[name] = used.get(name, False) or far
+        bounds.append(float(row.bound(m, s)) if row.bound is not None else None)
+    if missing:
+        state = OPEN
+    elif row.direct and not any(beyond):
+        state = MEASURED
+    else:
+        state = WORKED_OUT
+    return Worked(row, values, bounds, state, used, beyond, missing)
+
+
+# what is printed --------------------------------------------------------------------------------------------------
+
+
+def show(value: float) -> str:
+    """Three figures at most, so that the page claims no more than was measured."""
+    if value == 0:
+        return "0"
+    digits = max(0, 2 - math.floor(math.log10(abs(value))))
+    text = f"{round(value, digits):,.{min(digits, 4)}f}"
+    return text.rstrip("0").rstrip(".") if "." in text else text
+
+
+def modules(by: tuple[str, ...] | str) -> str:
+    return by if isinstance(by, str) else ", ".join(f"`{p}`" for p in by)
+
+
+def absent(by: tuple[str, ...] | str) -> list[str]:
+    """Modules that a row names and the code does not have."""
+    if isinstance(by, str):
+        return [] if by.startswith("open: ") else [by]
+    return [p for p in by if not (CODE / p).is_file()]
+
+
+def table(head: list[str], rows: list[list[str]]) -> Iterator[str]:
+    yield "| " + " | ".join(head) + " |"
+    yield "| " + " | ".join(["---"] * len(head)) + " |"
+    for r in rows:
+        yield "| " + " | ".join(r) + " |"
+
+
+def role(name: str, m: Model) -> Iterator[str]:
+    rows = []
+    for row in ROLES[name]:
+        w = work_out(row, m)
+        cells = []
+        for value, over, far in zip(w.values, w.over, w.beyond, strict=True):
+            text = OPEN if value is None else show(value) + ("*" if far else "")
+            cells.append(f"**{text}**" if over else text)
+        told = {b: None for b in w.bounds if b is not None}
+        bound = "-" if not told else " / ".join(show(b) for b in told)
+        state = f"open: {w.missing}" if w.state == OPEN else w.state
+        rows.append([row.what, row.unit or "-", *cells, bound, modules(row.by), state])
+    names = [s.name for s in m.sizes()]
+    yield from table(["what", "unit", *names, "bound", "carried by", "state"], rows)
+
+
+def sizes(m: Model) -> Iterator[str]:
+    rows = []
+    named = m.sizes()
+    lines: list[tuple[str, Callable[[Size], float]]] = [
+        ("workers", lambda s: s.workers),
+        ("controllers", lambda s: float(s.controllers)),
+        ("task starts a second, peak", lambda s: s.starts_s),
+        ("tasks running", lambda s: s.running),
+        ("jobs a day", lambda s: s.jobs_day),
+        ("jobs a second at the peak", m.jobs_s),
+        ("teams with quotas", lambda s: s.teams),
+        ("reports a second, quiet", m.quiet_reports),
+        ("reports a second, peak", m.reports),
+    ]
+    for what, of in lines:
+        rows.append([what, *(show(of(s)) for s in named)])
+    yield from table(["", *(s.name for s in named)], rows)
+
+
+def parts(rows: list[tuple[str, float, float, str]], bound: float) -> Iterator[str]:
+    """A sum of parts: usual and worst."""
+    told = [[what, f"{usual:.2f}", f"{worst:.2f}", by] for what, usual, worst, by in rows]
+    usual, worst = sum(r[1] for r in rows), sum(r[2] for r in rows)
+    mark = "**{:.2f}**" if worst > bound else "{:.2f}"
+    told.append(["sum", f"{usual:.2f}", mark.format(worst), f"bound {bound:.2f}"])
+    yield from table(["part", "usual, s", "worst, s", "from"], told)
+
+
+def in_force(m: Model) -> list[tuple[str, float, float, str]]:
+    """From the operator's request in one region until the last controller of the last region has told its version."""
+    lim = m.limits
+    usual, slow = lim["state_usual_s"], lim["state_slow_s"]
+    check = m.at("check of settings", m.letter["teams"]) / lim["core"]
+    return [
+        ("commit in the first region", usual, slow, "the protocol's usual and occasional answer"),
+        ("over the link to the others", m.assumed["link_s"], m.assumed["link_slow_s"], "assumed; not measured"),
+        ("commit there", usual, slow, "as above"),
+        ("watch: its answer, or the next question", usual, WATCH_S + slow,
+         "`leading/knowledge.py` asks again each second"),
+        ("check, with the share of a core", check, check + STRETCH_S, "slope: check of settings; one stretch between"),
+        ("greeting that tells the version", TELL_S, GREETING_S + lim["messages_s"],
+         "`process/controller.py`: at once, or with the next"),
+    ]  # fmt: skip
+
+
+def urgent_parts(m: Model, wait: tuple[float, float], by: str) -> list[tuple[str, float, float, str]]:
+    lim = m.limits
+    return [
+        ("acceptance to the leader's books: the watch", lim["state_usual_s"], lim["state_slow_s"],
+         "`leading/live_jobs.py`"),
+        ("next pass", PASS_GAP_S / 2, PASS_GAP_S, f"`leading/pace.py`; up to {MOST_REST_S:g} s where much waits"),
+        ("durable grant", COVER_S / 2 + lim["state_usual_s"], COVER_S + lim["state_slow_s"], "`leading/grants.py`"),
+        ("report of the last machine that is needed", *wait, by),
+        ("the answer's way", lim["messages_s"], 2 * lim["messages_s"], "`doors/server.py`"),
+    ]  # fmt: skip
+
+
+def awaited(m: Model, needed: int, machines: int) -> tuple[float, float]:
+    """How long until so many of the machines have reported: in half of the cases, and in 99 of 100."""
+    t = m.limits["report_s"]
+
+    def chance(x: float) -> float:
+        return reported(x, needed, machines, t)
+
+    return quantile(chance, 0.5, t * (1 + JITTER)), quantile(chance, 0.99, t * (1 + JITTER))
+
+
+def prompted(m: Model, machines: int) -> tuple[float, float]:
+    """How long until machines that were told directly to forget a task report it: a change, half a second after the
+    report before at the latest, and so many orders under way at a time, each over a connection of its own."""
+    rounds = math.ceil(machines / MOST_ASKED) * 2 * m.limits["messages_s"]
+    one = CHANGE_S * CHANGE_S / 2 / m.limits["report_s"] if machines == 1 else CHANGE_S
+    return rounds + one, rounds + CHANGE_S
+
+
+def urgent_cases(m: Model) -> list[tuple[str, list[tuple[str, float, float, str]]]]:
+    room, gang = int(m.assumed["start_room"]), int(m.letter["gang"])
+    by = "worked out below"
+    return [
+        (f"One task, {room} machines with room, as it is built", urgent_parts(m, awaited(m, 1, room), by)),
+        (f"A gang of {gang}, its {gang} machines, as it is built", urgent_parts(m, awaited(m, gang, gang), by)),
+        (f"A gang of {gang} whose machines are prompted to report (not built)",
+         urgent_parts(m, prompted(m, gang), "a direct `forget`; half a second between reports")),
+    ]  # fmt: skip
+
+
+def urgent(m: Model) -> Iterator[str]:
+    t, bound, gang = m.limits["report_s"], m.letter["urgent_s"], int(m.letter["gang"])
+    cases = urgent_cases(m)
+    for title, found in cases:
+        yield f"{title}; worst: every part at its worst, reports in 99 of 100 cases."
+        yield ""
+        yield from parts(found, bound)
+        yield ""
+    left = bound - sum(p[1] for p in cases[0][1] if "report" not in p[0])
+    yield (
+        f"Of {bound} s, {left:.2f} s are left for the reports where the other parts take what is usual. "
+        f"For machines that report every {t:g} s, share of cases in time:"
+    )
+    yield ""
+    rows = []
+    for k in (2**i for i in range(gang.bit_length())):
+        half, most = awaited(m, k, k)
+        chances = [reported(left, k, k * n, t) for n in (1, 2, 4, 8)]
+        chances += [held(left, 2.2, t) ** k, held(left, 2.9, t) ** k, held(left, 2.9, t, from_sent=False) ** k]
+        chances.append(1.0 if prompted(m, k)[1] <= left else 0.0)
+        rows.append([str(k), f"{half:.2f}", f"{most:.2f}", *(f"{c:.3f}" for c in chances)])
+    yield from table(
+        ["tasks, one a machine", "wait for all: half, s", "99%, s", "all of k machines", "k of 2k", "k of 4k",
+         "k of 8k", "answers held 2.2 s", "held 2.9 s", "held 2.9 s, interval from the answer", "prompted"],
+        rows,
+    )  # fmt: skip
+    yield ""
+    need = next(n for n in range(1, 1000) if reported(left, 1, n, t) >= 0.99)
+    yield (
+        f"One task starts in time in 99 of 100 cases from {need} machines with room on. Measured beside it: "
+        f"one task {told(m, 'urgent start, one task')}, a gang of {gang} {told(m, 'urgent start, gang of 128')}."
+    )
+
+
+def told(m: Model, name: str) -> str:
+    s = m.slopes[name]
+    if s.state == OPEN:
+        return "open"
+    return ", ".join(f"{show(v)} {s.unit} at {show(x)}" for x, v in zip(s.sizes, s.medians, strict=True))
+
+
+def blocks(m: Model) -> Iterator[str]:
+    rows = []
+    cases: list[tuple[str, Callable[[Size], float]]] = [
+        ("the leader's whole work, all reports at it", lambda s: m.reports(s) * m.core_of_a_report()),
+        ("decisions, by the bench's account", lambda s: m.reports(s) * m.at("decisions of a report") / 1e3),
+        ("decisions, by the decision side alone", m.decision_core),
+    ]
+    for what, core in cases:
+        full = m.blocks_from(core)
+        rows.append([what, "-" if full is None else show(round(full, -2))])
+    stretch = next((w for w in range(500, 20_001, 100) if m.at("longest stretch of a pass", w) > STRETCH_S), None)
+    rows.append([f"a stretch of a pass of {STRETCH_S} s", "over 20,000" if stretch is None else show(stretch)])
+    wait = next((w for w in range(500, 20_001, 100) if m.at("full pass", w) > 1.0), None)
+    rows.append(["a full pass of 1 s, each followed by 2 s of rest", "over 20,000" if wait is None else show(wait)])
+    yield from table([f"what fills {m.limits['core']} of a core, or its bound, at the peak", "from workers"], rows)
+    yield ""
+    least = min(f for f in (m.blocks_from(core) for _, core in cases[1:]) if f is not None)
+    region, more, whole, _ = (s.workers for s in m.sizes())
+    yield (
+        f"So blocks pay from about {show(round(least, -2))} workers in a cluster on: {least / region:.1f} times the "
+        f"largest region, {least / more:.1f} times that at half as much again, {least / whole:.1f} times all regions "
+        f"in one."
+    )
+
+
+def failures(m: Model) -> Iterator[str]:
+    t, lim = m.letter, m.limits
+    tasks = t["running"] / t["workers"]
+    lapse = lim["lease_s"] * (1 + 2 * DRIFT) + MARGIN_S
+    zone = t["workers"] / t["zones"]
+    region = m.sizes()[0].workers
+    budget = 0.8 * lim["cloud_rps"]
+    rack = m.split["rack"]
+    hold = min(15, 0.6 * lim["lease_s"])
+    page = 1024 * lim["value_kb"] - 32
+
+    def writes(machines: float) -> int:
+        return math.ceil(float(machines * m.at("machine record") / page))
+
+    def rents(machines: float) -> int:
+        return math.ceil(machines / MOST_RENTED) + math.ceil(machines / 100)
+
+    rows = [
+        [f"{t['restarts_day']} restarts or replacements a day, unannounced", show(t["restarts_day"] * tasks) + " a day",
+         "the next session's report, or " + f"{lapse:.1f} s of silence",
+         f"{show(2 * t['restarts_day'])} requests of the cloud, as many writes, a direct question each, a day",
+         "`books/fleet.py`, `leading/proof.py`, `leading/rentals.py`", WORKED_OUT],
+        [f"{t['fail_day']} failures a day", show(t["fail_day"] * tasks) + " a day", f"{lapse:.1f}",
+         f"{show(2 * t['fail_day'])} requests of the cloud a day", "`books/fleet.py`", WORKED_OUT],
+        [f"a rack or switch, {rack} machines", show(rack * tasks), f"{lapse:.1f}, then room",
+         f"{writes(rack)} writes, {rents(rack)} requests of the cloud, {math.ceil(rack / MOST_ASKED)} round of direct "
+         "questions", "`leading/proof.py`, `records/pages.py`", WORKED_OUT],
+        [f"a zone, {show(zone)} machines", show(zone * tasks),
+         f"{lapse:.1f}, then {rents(zone) / budget:.1f} to ask the cloud, then boots",
+         f"{writes(zone)} writes, {rents(zone)} requests of the cloud, "
+         f"{math.ceil(zone / MOST_ASKED)} rounds of direct questions", "`leading/rentals.py`", WORKED_OUT],
+        ["the same, the leader in it", "the same, and those of answers under way: "
+         + told(m, "starts lost with the leader"), f"{hold:.1f} until the hold ends, then taking over",
+         f"{math.ceil(region / MOST_ASKED)} rounds of direct questions to show the token", "`leading/leadership.py`",
+         OPEN],
+        ["an answering controller", "of answers under way: " + told(m, "starts lost with the leader"),
+         "up to 4, its workers' wait, then 1", f"{show(region / m.split['controllers'])} connections anew",
+         f"open: {NOT_BUILT}", OPEN],
+        ["a region apart for an hour", "0", "0: it has its own leader, state service and quota shares",
+         f"a try of the link at most each {LONGEST_S:g} s; gangs abroad wait for their news", "`federation/breaker.py`",
+         WORKED_OUT],
+        ["state service of a region out", "0 while leases are answered; nothing is accepted", f"{hold:.1f}, then no "
+         "answers until it is back", "none", "`leading/knowledge.py`", WORKED_OUT],
+    ]  # fmt: skip
+    yield from table(["failure", "starts again", "seconds until they may", "messages", "carried by", "state"], rows)
+
+
+def misfits(m: Model) -> Iterator[str]:
+    """Every row that is over its bound at some size; and how many rows are open."""
+    rows = []
+    counts = dict.fromkeys((MEASURED, WORKED_OUT, OPEN), 0)
+    for name, found in ROLES.items():
+        for row in found:
+            w = work_out(row, m)
+            counts[w.state] += 1
+            if any(w.over):
+                where = [
+                    f"{s.name} ({show(s.workers)})" for s, over in zip(m.sizes(), w.over, strict=True) if over
+                ]  # fmt: skip
+                rows.append([name, row.what, ", ".join(where)])
+    worst = sum(p[2] for p in in_force(m))
+    if worst > m.letter["in_force_s"]:
+        rows.append(["configuration", "in force everywhere", f"{worst:.2f} s at worst"])
+    for title, case in urgent_cases(m):
+        usual, worst = sum(p[1] for p in case), sum(p[2] for p in case)
+        if worst > m.letter["urgent_s"]:
+            rows.append(["urgent work", title, f"{usual:.2f} s usual, {worst:.2f} s at worst"])
+    yield from table(["role", "what does not fit", "where"], rows)
+    yield ""
+    yield (
+        f"Of the rows of all roles {counts[MEASURED]} are measured, {counts[WORKED_OUT]} worked out and "
+        f"{counts[OPEN]} open."
+    )
+
+
+def against(m: Model) -> Iterator[str]:
+    """Where something was measured that is also worked out: how far off the working out is."""
+    at = Size("", 1300, 122, 0, 0, 0, 3)
+    pairs = [
+        ("reports a second, 1,300 workers with 122 starts a second", m.reports(at), m.at("leader, reports")),
+        ("leader's core at 500 workers, taken as quiet",
+         500 / m.limits["report_s"] * m.core_of_a_report(), m.at("leader, processor", 500)),
+        ("leader's core for 1,300 workers' decisions", m.decision_core(at),
+         m.at("leader, reports") * m.at("decisions of a report") / 1e3),
+    ]  # fmt: skip
+    rows = [[what, show(a), show(b), f"{a / b - 1:+.0%}"] for what, a, b in pairs]
+    yield from table(["what", "worked out", "measured", "off by"], rows)
+
+
+def slopes(m: Model) -> Iterator[str]:
+    rows = []
+    for s in m.slopes.values():
+        if s.state == OPEN:
+            rows.append([s.name, s.unit, s.per, "-", "-", "-", "open", s.run])
+            continue
+        points = "; ".join(f"{x:g}: {show(y)}" for x, y in zip(s.sizes, s.medians, strict=True))
+        told_spread = f"{s.spread:.0%}" if any(len(v) > 1 for v in s.values) else "one run"
+        rows.append([s.name, s.unit, s.per, points, told_spread, s.told(), s.state, s.run])
+    yield from table(["slope", "unit", "by", "medians", "spread", "shape", "state", "run"], rows)
+
+
+def everything(m: Model) -> dict[str, str]:
+    made: dict[str, Callable[[], Iterator[str]]] = {"sizes": lambda: sizes(m)}
+    for name in ROLES:
+        made[name] = lambda name=name: role(name, m)  # type: ignore[misc]
+    made["in force"] = lambda: parts(in_force(m), m.letter["in_force_s"])
+    made["urgent"] = lambda: urgent(m)
+    made["blocks"] = lambda: blocks(m)
+    made["failures"] = lambda: failures(m)
+    made["against"] = lambda: against(m)
+    made["misfits"] = lambda: misfits(m)
+    made["slopes"] = lambda: slopes(m)
+    return {name: "\n".join(make()) for name, make in made.items()}
+
+
+MARKED = re.compile(r"<!-- capacity: (?P<name>[a-z ]+) -->\n(?P<body>(?:(?!<!--).)*?)\n?<!-- end -->", re.S)
+
+
+def marked(name: str, body: str) -> str:
+    return f"<!-- capacity: {name} -->\n{body}\n<!-- end -->"
+
+
+def differences(page: str, m: Model) -> list[str]:
+    """What is wrong with a page: blocks that are missing, unknown or not what is worked out; modules that are not."""
+    made, found = everything(m), {x["name"]: x["body"] for x in MARKED.finditer(page)}
+    wrong = [f"{name}: not on the page" for name in made.keys() - found.keys()]
+    wrong += [f"{name}: nothing of that name is worked out" for name in found.keys() - made.keys()]
+    for name in sorted(made.keys() & found.keys()):
+        old, new = found[name].splitlines(), made[name].splitlines()
+        first = next((f"{a!r} for {b!r}" for a, b in zip(old, new, strict=False) if a != b), f"{len(old)} lines")
+        if old != new:
+            wrong.append(f"{name}: differs: {first}")
+    for name, rows in ROLES.items():
+        wrong += [f"{name}: {row.what}: there is no {p}" for row in rows for p in absent(row.by)]
+    return sorted(wrong)
+
+
+@cache
+def _text(path: Path) -> str:
+    return path.read_text("utf-8")
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description="Works out the figures of docs/CAPACITY.md.")
+    what = parser.add_mutually_exclusive_group(required=True)
+    what.add_argument("--page", action="store_true", help="print the page's tables, between their markers")
+    what.add_argument("--write", action="store_true", help="write them into the page")
+    what.add_argument("--check", action="store_true", help="say where the page differs; exit status 1")
+    parser.add_argument("--slopes", type=Path, default=SLOPES, metavar="FILE")
+    options = parser.parse_args()
+    try:
+        m = Model(_text(options.slopes))
+    except (Wrong, tomllib.TOMLDecodeError) as e:
+        print(f"capacity: {options.slopes}: {e}", file=sys.stderr)
+        return 1
+    if options.page:
+        print("\n\n".join(marked(name, body) for name, body in everything(m).items()))
+        return 0
+    page = _text(PAGE)
+    if options.write:
+        made = everything(m)
+        PAGE.write_text(MARKED.sub(lambda x: marked(x["name"], made.get(x["name"], x["body"])), page), "utf-8")
+        return 0
+    wrong = differences(page, m)
+    print("\n".join(wrong) or "the page holds")
+    return 1 if wrong else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
