--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -54,6 +54,8 @@
 SERVED = 0.75
 #: a relay gathers reports for so long, takes so many into a batch, and gives an answer up at this age
 BATCH_S, BATCH_REPORTS = 0.04, 256
+#: an answer may be held for so long: below the age at which a relay gives one up, and a worker's four seconds
+HELD_S = 2.9
 #: a share of a quota that moves: giver's commit, taker's, and giver's when it is settled; two questions with answers
 MOVE_WRITES, MOVE_MESSAGES = 3, 4
 
@@ -270,23 +272,29 @@
     return sum(math.comb(machines, i) * p**i * (1 - p) ** (machines - i) for i in range(needed, machines + 1))
 
 
-def held(t: float, hold_s: float, report_s: float, from_sent: bool = True) -> float:
+def held(t: float, hold_s: float, report_s: float) -> float:
     """The same chance for one machine whose answers are held for so long while it has room.
 
-    While its report is held it can be told at once, between an answer and the next report it cannot. Where the
-    interval counts from when a report was sent, the hold takes its time out of that gap; else the gap stays whole.
+    While its report is held it can be told at once, between an answer and the next report it cannot. The interval
+    counts from when a report was sent, so that the hold takes its time out of that gap.
     """
     a, b = report_s * (1 - JITTER), report_s * (1 + JITTER)
     steps = 2000
     within = whole = 0.0
     for i in range(steps):
         interval = a + (b - a) * (i + 0.5) / steps
-        gap = max(0.0, interval - hold_s) if from_sent else interval
+        gap = max(0.0, interval - hold_s)
         whole += hold_s + gap
         within += hold_s + min(gap, t)
     return within / whole if t >= 0 else 0.0
 
 
+def cleared(t: float, report_s: float) -> float:
+    """The same chance for one that is told directly to stop a task: its end is a change, which is reported at once, or
+    half a second after the report before."""
+    return 1.0 if t >= CHANGE_S else max(0.0, 1 - (CHANGE_S - t) / report_s)
+
+
 def quantile(chance: Callable[[float], float], q: float, most: float) -> float:
     low, high = 0.0, most
     for _ in range(40):
@@ -646,44 +654,48 @@
     ]  # fmt: skip
 
 
-def urgent_parts(m: Model, wait: tuple[float, float], by: str) -> list[tuple[str, float, float, str]]:
+def urgent_parts(
+    m: Model, wait: tuple[float, float], by: str, stops: tuple[float, float] | None = None
+) -> list[tuple[str, float, float, str]]:
+    """From the acceptance to the last start; with `stops`, room is made first, and a second pass places what waits."""
     lim = m.limits
-    return [
+    one_pass = ("next pass", PASS_GAP_S / 2, PASS_GAP_S, f"`leading/pace.py`; up to {MOST_REST_S:g} s where much waits")
+    found = [
         ("acceptance to the leader's books: the watch", lim["state_usual_s"], lim["state_slow_s"],
          "`leading/live_jobs.py`"),
-        ("next pass", PASS_GAP_S / 2, PASS_GAP_S, f"`leading/pace.py`; up to {MOST_REST_S:g} s where much waits"),
+        one_pass,
+    ]  # fmt: skip
+    if stops is not None:
+        found += [("direct stops, and reports of the ends", *stops, "`leading/proof.py`"), one_pass]
+    return [
+        *found,
         ("durable grant", COVER_S / 2 + lim["state_usual_s"], COVER_S + lim["state_slow_s"], "`leading/grants.py`"),
         ("report of the last machine that is needed", *wait, by),
         ("the answer's way", lim["messages_s"], 2 * lim["messages_s"], "`doors/server.py`"),
-    ]  # fmt: skip
-
-
-def awaited(m: Model, needed: int, machines: int) -> tuple[float, float]:
-    """How long until so many of the machines have reported: in half of the cases, and in 99 of 100."""
-    t = m.limits["report_s"]
-
-    def chance(x: float) -> float:
-        return reported(x, needed, machines, t)
-
-    return quantile(chance, 0.5, t * (1 + JITTER)), quantile(chance, 0.99, t * (1 + JITTER))
+    ]
 
 
-def prompted(m: Model, machines: int) -> tuple[float, float]:
-    """How long until machines that were told directly to forget a task report it: a change, half a second after the
-    report before at the latest, and so many orders under way at a time, each over a connection of its own."""
-    rounds = math.ceil(machines / MOST_ASKED) * 2 * m.limits["messages_s"]
-    one = CHANGE_S * CHANGE_S / 2 / m.limits["report_s"] if machines == 1 else CHANGE_S
-    return rounds + one, rounds + CHANGE_S
+def awaited(m: Model, chance: Callable[[float], float]) -> tuple[float, float]:
+    """How long until the last one has reported: in half of the cases, and in 99 of 100."""
+    most = m.limits["report_s"] * (1 + JITTER)
+    return quantile(chance, 0.5, most), quantile(chance, 0.99, most)
 
 
 def urgent_cases(m: Model) -> list[tuple[str, list[tuple[str, float, float, str]]]]:
-    room, gang = int(m.assumed["start_room"]), int(m.letter["gang"])
-    by = "worked out below"
+    room, gang, t = int(m.assumed["start_room"]), int(m.letter["gang"]), m.limits["report_s"]
+    orders = math.ceil(gang / MOST_ASKED) * 2 * m.limits["messages_s"]
+    stops = awaited(m, lambda x: cleared(x - orders, t) ** gang)
+    every = awaited(m, lambda x: reported(x, gang, gang, t))
     return [
-        (f"One task, {room} machines with room, as it is built", urgent_parts(m, awaited(m, 1, room), by)),
-        (f"A gang of {gang}, its {gang} machines, as it is built", urgent_parts(m, awaited(m, gang, gang), by)),
-        (f"A gang of {gang} whose machines are prompted to report (not built)",
-         urgent_parts(m, prompted(m, gang), "a direct `forget`; half a second between reports")),
+        (f"One task, {room} machines with room, as it is built",
+         urgent_parts(m, awaited(m, lambda x: reported(x, 1, room, t)), "`wire/workers.py`")),
+        (f"A gang of {gang} on idle machines, as it is built", urgent_parts(m, every, "`wire/workers.py`")),
+        (f"A gang of {gang} on machines that are cleared for it, nothing saved, as it is built",
+         urgent_parts(m, every, "`wire/workers.py`", stops)),
+        (f"A gang of {gang} on idle machines whose answers are held (not built)",
+         urgent_parts(m, awaited(m, lambda x: held(x, HELD_S, t) ** gang), "open: held answers")),
+        (f"A gang of {gang} on machines that are cleared for it, their answers held meanwhile (not built)",
+         urgent_parts(m, (0.0, 0.0), "open: held answers", stops)),
     ]  # fmt: skip
 
 
@@ -695,7 +707,7 @@
         yield ""
         yield from parts(found, bound)
         yield ""
-    left = bound - sum(p[1] for p in cases[0][1] if "report" not in p[0])
+    left = bound - sum(p[1] for p in cases[0][1] if "report of" not in p[0])
     yield (
         f"Of {bound} s, {left:.2f} s are left for the reports where the other parts take what is usual. "
         f"For machines that report every {t:g} s, share of cases in time:"
@@ -703,14 +715,13 @@
     yield ""
     rows = []
     for k in (2**i for i in range(gang.bit_length())):
-        half, most = awaited(m, k, k)
+        half, most = awaited(m, lambda x, k=k: reported(x, k, k, t))  # type: ignore[misc]
         chances = [reported(left, k, k * n, t) for n in (1, 2, 4, 8)]
-        chances += [held(left, 2.2, t) ** k, held(left, 2.9, t) ** k, held(left, 2.9, t, from_sent=False) ** k]
-        chances.append(1.0 if prompted(m, k)[1] <= left else 0.0)
+        chances += [held(left, 2.2, t) ** k, held(left, HELD_S, t) ** k, cleared(left - PASS_GAP_S / 2, t) ** k]
         rows.append([str(k), f"{half:.2f}", f"{most:.2f}", *(f"{c:.3f}" for c in chances)])
     yield from table(
         ["tasks, one a machine", "wait for all: half, s", "99%, s", "all of k machines", "k of 2k", "k of 4k",
-         "k of 8k", "answers held 2.2 s", "held 2.9 s", "held 2.9 s, interval from the answer", "prompted"],
+         "k of 8k", "answers held 2.2 s", f"held {HELD_S:g} s", "cleared, and held meanwhile"],
         rows,
     )  # fmt: skip
     yield ""
@@ -719,6 +730,12 @@
         f"One task starts in time in 99 of 100 cases from {need} machines with room on. Measured beside it: "
         f"one task {told(m, 'urgent start, one task')}, a gang of {gang} {told(m, 'urgent start, gang of 128')}."
     )
+    yield ""
+    tried = ("report after a direct stop", "report after a direct forget", "next report, answer held 2.9 s")
+    yield "Tried on the bench, in seconds: " + "; ".join(
+        f"{name}: " + ", ".join(f"{v:.2f} in {x:.0%}" for x, v in zip(s.sizes, s.medians, strict=True))
+        for name, s in ((n, m.slopes[n]) for n in tried)
+    ) + "."  # fmt: skip
 
 
 def told(m: Model, name: str) -> str:
