--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -200,11 +200,11 @@
 
     # what several rows use ----------------------------------------------------------------------------------
 
-    def reports_a_worker(self, s: Size) -> float:
+    def reports_a_worker(self, s: Size, report_s: float | None = None) -> float:
         """Reports a second of one worker at the peak: every start and every end is a change, sent at the next moment
         that is half a second after the last report, and without a change the interval passes."""
         changes = 2 * s.starts_s / s.workers
-        rest = self.limits["report_s"] - CHANGE_S
+        rest = (report_s or self.limits["report_s"]) - CHANGE_S
         return float(1 / (CHANGE_S + (1 - math.exp(-changes * rest)) / changes))
 
     def reports(self, s: Size) -> float:
@@ -377,12 +377,21 @@
         ("reports/answers.py",)),
     Row("processor, peak, all reports at the leader", "core", lambda m, s: m.leader_core(s),
         ("doors/server.py", "leading/checkins.py"), lambda m, s: m.limits["core"]),
-    Row("of it what no relay can take: decisions, by the bench", "core", lambda m, s: m.deciding_core(s),
+    Row("processor, peak, all reports at the leader, by the scale run", "core",
+        lambda m, s: m.at("leader, processor in the scale run", m.reports(s)),
+        ("doors/server.py", "leading/checkins.py"), lambda m, s: m.limits["core"], direct=True),
+    Row("what no relay can take: decisions and steps, by the bench", "core", lambda m, s: m.deciding_core(s),
         ("decisions/placing.py", "leading/pace.py"), lambda m, s: m.limits["core"]),
-    Row("the same, by the decision side alone", "core", lambda m, s: m.decision_core(s),
+    Row("decisions, by the decision side alone", "core", lambda m, s: m.decision_core(s),
         ("decisions/scheduler.py", "leading/pace.py"), lambda m, s: m.limits["core"]),
+    Row("a report over a connection of its own: HTTP, sockets, event loop", "ms",
+        lambda m, s: 1e3 * m.at("leader, HTTP", m.reports(s)) / m.reports(s), ("doors/server.py",)),
+    Row("a report in a batch, in their place", "ms", lambda m, s: 1e3 * m.batch_core(), ("relays/receiver.py",)),
     Row("processor, peak, reports spread evenly", "core", lambda m, s: m.spread_core(s),
         ("relays/receiver.py", "relays/spread.py"), lambda m, s: m.limits["core"]),
+    Row("processor, peak, reports spread evenly, by the scale run", "core",
+        lambda m, s: m.at("leader, reports spread, scale run", m.reports(s)),
+        ("relays/receiver.py", "relays/spread.py"), lambda m, s: m.limits["core"], direct=True),
     Row("targets, once", "s", lambda m, s: m.at("targets", s.workers), ("decisions/targets.py",), direct=True),
     Row("full pass, once, with as much waiting as runs", "s", lambda m, s: m.at("full pass", s.workers),
         ("decisions/scheduler.py",), direct=True),
@@ -404,7 +413,7 @@
         ("settings/default_policy.toml",)),
     Row("connections of workers: an even share and a twentieth", "",
         lambda m, s: SHARE_SLACK * s.workers / s.controllers, RELAYED, lambda m, s: m.sockets(s)),
-    Row("the same, one controller down", "",
+    Row("connections of workers, one controller down", "",
         lambda m, s: min(s.workers, SHARE_SLACK * s.workers / (s.controllers - 1)), RELAYED,
         lambda m, s: m.sockets(s)),
     Row("reports a second, peak, even share", "1/s", lambda m, s: m.reports(s) / s.controllers, RELAYED),
@@ -415,6 +424,11 @@
         RELAYED),
     Row("processor, peak", "core", lambda m, s: m.at("relay, processor", m.reports(s) / s.controllers),
         RELAYED, lambda m, s: m.limits["core"], direct=True),
+    Row("processor, peak, by the scale run", "core",
+        lambda m, s: m.at("relay, processor in the scale run", m.reports(s) / s.controllers), RELAYED,
+        lambda m, s: m.limits["core"], direct=True),
+    Row("memory, resident", "MB", lambda m, s: m.at("relay, resident", SHARE_SLACK * s.workers / s.controllers),
+        RELAYED, lambda m, s: m.limits["memory_mb"], direct=True),
     Row("memory, as the bench counts it", "MB",
         lambda m, s: m.at("relay, memory", SHARE_SLACK * s.workers / s.controllers), RELAYED,
         lambda m, s: m.limits["memory_mb"], direct=True),
@@ -467,7 +481,7 @@
         ("records/jobs.py", "leading/closing.py"), lambda m, s: m.limits["write_rps"]),
     Row("writes a second in all, peak", "1/s", lambda m, s: m.at("writes in all", s.starts_s),
         ("limits/budget.py", "records/pages.py"), lambda m, s: m.limits["write_rps"], direct=True),
-    Row("the same, the bench's many small jobs", "1/s",
+    Row("writes a second in all, many small jobs as on the bench", "1/s",
         lambda m, s: m.at("writes in all, small jobs", m.assumed["bench_jobs_s"] * s.workers / m.letter["workers"]),
         ("limits/budget.py", "records/pages.py"), lambda m, s: m.limits["write_rps"]),
     Row("requests a second that do not grow: hold, watch, the key", "1/s",
@@ -475,7 +489,7 @@
         lambda m, s: m.limits["state_rps"]),
     Row("requests a second in all, peak", "1/s", lambda m, s: m.at("requests of the state service", s.starts_s),
         ("outside/state.py",), lambda m, s: m.limits["state_rps"], direct=True),
-    Row("the same, the bench's many small jobs", "1/s",
+    Row("requests a second in all, many small jobs as on the bench", "1/s",
         lambda m, s: m.at("requests of the state service, small jobs",
                           m.assumed["bench_jobs_s"] * s.workers / m.letter["workers"]),
         ("outside/state.py",), lambda m, s: m.limits["state_rps"]),
@@ -779,8 +793,9 @@
     yield ""
     rows = []
     for name in ("one task", "65 to 128 tasks"):
-        half, slowest = f"urgent start, {name}, half", f"urgent start, {name}, slowest"
-        rows.append([name, told(m, half), told(m, slowest), m.slopes[half].run])
+        for what in ("urgent start", "urgent start with relays"):
+            half, slowest = f"{what}, {name}, half", f"{what}, {name}, slowest"
+            rows.append([name, told(m, half), told(m, slowest), m.slopes[half].run])
     yield from table(["measured beside it, urgent jobs of", "half within, s at workers", "slowest", "run"], rows)
     yield ""
     tried = ("report after a direct stop", "report after a direct forget", "next report, answer held 2.9 s")
@@ -909,7 +924,7 @@
 def against(m: Model) -> Iterator[str]:
     """Where something was measured that is also worked out: how far off the working out is."""
     issue = Size("", 1300, 122, 0, 0, 0, 3)
-    workers = m.slopes["reports at the peak"].sizes[2]
+    workers = m.slopes["reports at the peak"].sizes[4]
     peak = Size("", workers, m.at("starts at the peak", workers), 0, 0, 0, 3)
     scale = m.slopes["leader, processor in the scale run"].sizes[-2]
     pairs: list[tuple[str, Callable[[], float], Callable[[], float]]] = [
@@ -917,10 +932,22 @@
          lambda: m.at("issue: reports")),
         (f"reports a second, {show(workers)} workers with {show(peak.starts_s)} starts a second",
          lambda: m.reports(peak), lambda: m.at("reports at the peak", workers)),
-        ("leader's core with 460 reports a second, issue 40",
-         lambda: m.at("leader, processor", m.at("issue: reports")), lambda: m.at("issue: leader, processor", 1300)),
+        (f"reports a second, 2,600 workers with {show(m.at('starts in the scale run, with relays', 2600))} starts a "
+         "second, intervals of 3.5 s, the scale run",
+         lambda: 2600 * m.reports_a_worker(
+             Size("", 2600, m.at("starts in the scale run, with relays", 2600), 0, 0, 0, 3), 3.5),
+         lambda: m.at("reports in the scale run, with relays", 2600)),
+        ("leader's part of its share with 460 reports a second, issue 40",
+         lambda: m.at("leader, processor", m.at("issue: reports")) / m.limits["core"],
+         lambda: m.at("issue: leader, processor", 1300)),
         (f"leader's core with {show(scale)} reports a second, the scale run", lambda: m.at("leader, processor", scale),
          lambda: m.at("leader, processor in the scale run", scale)),
+        ("reports a second that fill a leader's share, spread over three",
+         lambda: quantile(lambda x: m.at("leader, reports spread over three", x), m.limits["core"], 10_000),
+         lambda: m.at("reports where the leader is at its whole share", 2614)),
+        ("leader's core with 1,265 reports a second spread over three, the scale run",
+         lambda: m.at("leader, reports spread over three", 1265),
+         lambda: m.at("leader, reports spread, scale run", 1265)),
         (f"leader's core for decisions, {show(workers)} workers, the decision side alone",
          lambda: m.decision_core(peak),
          lambda: m.at("leader, decisions and steps", m.at("reports at the peak", workers))),
