--- a/src/grebestand/process/controller.py
+++ b/src/grebestand/process/controller.py
@@ -25,6 +25,7 @@
 from ..leading.pen import Pen
 from ..leading.term import Term
 from ..limits.budget import Budget
+from ..limits.collection import by_time
 from ..limits.load import LOOK_S, Load
 from ..limits.sockets import BATCHES, CLOUD, GREETINGS, RELAYED, STATE_REQUESTS, STATE_WATCHES, plan
 from ..outside.cloud import CloudClient, CloudError
@@ -42,7 +43,7 @@
 from ..settings.expressions import Expressions
 from ..settings.platform import Settings
 from ..settings.policy import VARIABLES
-from ..states import LeaderState, LinkState, MachineState
+from ..states import LeaderState, LinkState, LoadState, MachineState
 from ..wire.jobs import JobView
 from ..wire.peers import Hello, Resigned
 from .handover import Handover
@@ -54,6 +55,11 @@
 RENEW_S = 0.5
 #: a transaction may have so many times as many conditions as changes; one is left to spare
 CONDITIONS = 3
+#: the leader looks so often whether reports are to be spread, in seconds: thousands of workers may come within three;
+#: and all look so often at which workers they keep
+DECIDE_S, TIDY_S = 0.25, 1.0
+#: while every controller answers reports, it tells so often how many, in seconds
+REPORTS_TOLD_S = 20.0
 #: another controller that answered a greeting so lately, in seconds, is there to answer reports
 ANSWERING_S = 2.5
 #: cancellations are told to the others so long after the first, in seconds
@@ -116,8 +122,9 @@
         self._directs = BoundedSemaphore(self.sockets.direct)
         self.zones = {known.name: known.zone for known in settings.peers}
         self.spread = Spread(
-            settings.name, settings.zone, self.sockets.workers, p.workers.report_s, self.clock, self._answering
-        )
+            settings.name, settings.zone, self.sockets.workers, p.workers.report_s, self.clock, self._answering,
+            lambda: self.pressure.state is LoadState.OVERLOADED,
+        )  # fmt: skip
         self.sender = Sender(settings.name, self.clock, self._leading_peer)
         self.workers = WorkerDoor(settings.name, self.leadership, self._term, self.spread, self.sender)
         peers = []
@@ -220,6 +227,7 @@
         if self.term is not term:
             return
         if self.leadership.state is LeaderState.LOADING:
+            self._decide_spread(term)
             self.leadership.move(LeaderState.LEADING, "records read")
         steps: list[tuple[Callable[[], None], float]] = [
             (term.jobs.watch, 0.0),
@@ -370,6 +378,7 @@
             self._told_lately(),
             len(self.spread.kept),
             self.spread.room if leads or self.sender.open() else -1,
+            self.spread.rate,
             self.spread.machines if leads else 0,
         )
 
@@ -383,7 +392,15 @@
         """The other controllers that answer reports, as they said lately."""
         now = self.clock()
         return [
-            Other(p.name, self.zones[p.name], p.last.token > 0, p.last.kept, p.last.room)
+            Other(
+                p.name,
+                self.zones[p.name],
+                p.last.token > 0,
+                p.last.kept,
+                p.last.room,
+                p.last.load == LoadState.OVERLOADED.value,
+                p.last.reports,
+            )
             for p in self.peers.peers
             if p.last is not None and p.last.room >= 0 and now - p.heard_at < ANSWERING_S
         ]
@@ -404,17 +421,30 @@
         if self.leadership.state is LeaderState.LOADING:
             self._news.wait(KEPT_S)
 
+    def _decide_spread(self, term: Term) -> None:
+        """The leader's word on whether reports are spread, by the policy and by what its own sockets bear."""
+        machines = len(term.fleet.machines) if self.peers.peers else 0
+        on = spread_on(term.wants_spread, self.spread.machines > 0, machines)
+        self.spread.told(machines if on or machines > self.sockets.workers else 0)
+
     def _spread_loop(self) -> None:
         """The leader decides by the policy whether reports are spread; all forget workers that went elsewhere."""
+        told_at = tidied_at = self.clock()
         while True:
-            gevent.sleep(1.0)
-            self.spread.tidy()
+            gevent.sleep(DECIDE_S)
+            if self.clock() - tidied_at >= TIDY_S:
+                tidied_at = self.clock()
+                self.spread.tidy()
+            if self.spread.machines and self.clock() - told_at >= REPORTS_TOLD_S:
+                told_at = self.clock()
+                log.info(
+                    "reports: %d of %d workers kept, %d reports passed on in %d batches, %d read from others, "
+                    "%d workers sent elsewhere", len(self.spread.kept), self.spread.machines, self.sender.passed,
+                    self.sender.batches, self.receiver.reports, self.spread.redirected,
+                )  # fmt: skip
             term = self.term
-            if term is None or not term.loaded or not self.leadership.entitled():
-                continue
-            machines = len(term.fleet.machines) if self.peers.peers else 0
-            on = spread_on(term.wants_spread, self.spread.machines > 0, machines)
-            self.spread.told(machines if on or machines > self.sockets.workers else 0)
+            if term is not None and term.loaded and self.leadership.entitled():
+                self._decide_spread(term)
 
     def _told_lately(self) -> list[str]:
         now = self.clock()
@@ -552,5 +582,6 @@
         for extra in self.features.listeners:
             listen(extra.address, extra.field, extra.app, extra.connections, extra.gate).start()
         self.begin()
+        gevent.spawn(by_time, gevent.sleep, lambda: self.pressure.spare)
         log.info("%s serves on %s", self.settings.name, self.settings.listen)
         server.serve_forever()
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -14,6 +14,7 @@
 
 from grebestand.doors.answer import Answer
 from grebestand.doors.server import listen_bounded, respond
+from grebestand.doors.workers import WorkerDoor
 from grebestand.leading.leadership import Leadership
 from grebestand.leading.term import Term
 from grebestand.limits.load import Load
@@ -392,6 +393,36 @@
     assert sender.open() and sender.pass_on(b"x", loop.time) == (200, b"x")
 
 
+def test_half_of_an_answer_is_none(loop: VirtualLoop) -> None:
+    sender, leader = passing(loop, echo)
+    whole = leader.request
+
+    def cut(method: str, path: str, body: bytes, timeout: float) -> tuple[int, bytes]:
+        status, answer = whole(method, path, body, timeout)
+        return status, answer[: len(answer) // 2]
+
+    leader.request = cut  # type: ignore[method-assign]
+    assert sender.pass_on(b"report", loop.time) == (0, b"")
+    leader.answer, leader.request = (lambda batch: Replies([])), whole  # type: ignore[method-assign]
+    assert sender.pass_on(b"report", loop.time) == (0, b"")  # nor is an answer to something else
+
+
+def test_a_leader_that_is_gone_is_no_reason_to_leave_the_next_alone(loop: VirtualLoop) -> None:
+    """Its workers were sent to the new leader for as long as the old one would have been left alone."""
+
+    def silent(batch: Batch) -> Replies:
+        gevent.sleep(1e6)
+        return echo(batch)
+
+    old, new = Peer("node-0", Leader(silent)), Peer("node-2", Leader(echo))
+    leads = old
+    sender = Sender("node-1", lambda: loop.time, lambda: leads)
+    gevent.spawn(sender.run)
+    assert sender.pass_on(b"", loop.time) == (0, b"") and not sender.open()
+    leads = new
+    assert sender.open() and sender.pass_on(b"x", loop.time) == (200, b"x")
+
+
 def led() -> tuple[World, Node, Term, Receiver, list[WorkerModel]]:
     world = World()
     node = Node(world, "node-0")
@@ -540,6 +571,27 @@
     assert 150 <= len(world.spread.kept) <= 180
 
 
+def test_one_whose_workers_report_too_often_sends_some_where_fewer_come() -> None:
+    """Counts were even, and the leader, with the busiest machines, answered twice as many reports as others."""
+    world = Neighbours(
+        Other("near", "a", False, 95, 900, reports=40.0), Other("far", "b", False, 95, 900, reports=40.0)
+    )
+    world.spread.machines = 290
+    for i in range(100):
+        world.spread.keep(f"n-{i}")
+    moved = Counter[str | None]()
+    for _ in range(12):
+        world.clock.now += 1.0
+        for machine in list(world.spread.kept) * 2:
+            if machine in world.spread.kept:
+                to = world.spread.where(machine, "a", False)
+                moved[to] += 1
+                if to == "node-0":
+                    world.spread.keep(machine)
+        world.spread.tidy()
+    assert world.spread.rate > 120.0 and 5 <= moved["near"] + moved["far"] <= 14
+
+
 def test_one_without_sockets_keeps_nobody_new() -> None:
     world = Neighbours(Other("near", "a", True, 290, 3), limit=20)
     places = world.arrive(40)
@@ -547,6 +599,17 @@
     assert world.spread.where("n-0", "a", False, surplus=True) is None
 
 
+def test_one_that_is_late_gets_no_more_while_others_can() -> None:
+    late = Other("late", "a", False, 0, 900, late=True)
+    world = Neighbours(late, Other("near", "a", True, 0, 900))
+    assert world.arrive(300)["late"] == 0
+    world = Neighbours(Other("near", "a", False, 0, 900))
+    world.spread.late = lambda: True
+    assert world.arrive(100) == {"near": 100}
+    world.others = []
+    assert world.arrive(10, first=100) == {"node-0": 10}  # better late than not at all
+
+
 def test_the_spread_is_switched_by_the_policy_and_stays_for_a_while() -> None:
     assert not spread_on(lambda n: n > 100, False, 100) and spread_on(lambda n: n > 100, False, 101)
     assert spread_on(lambda n: n > 100, True, 90) and not spread_on(lambda n: n > 100, True, 80)
@@ -619,3 +682,36 @@
     worker = WorkerModel("n-000007", zone="b")
     report = msgspec.json.decode(msgspec.json.encode(worker.report()), type=Report)
     assert (report.machine, report.zone) == ("n-000007", "b")
+
+
+def test_a_leader_that_answers_all_keeps_no_more_than_its_sockets_bear() -> None:
+    """Thousands came within three seconds of its start, before it knew of enough machines to have others answer them:
+    their connections took the last ones to the state service."""
+    world, node, *_ = led()
+    spread = Spread("node-0", "a", 3, 3.0, world.clock, list)
+    door = WorkerDoor("node-0", node.leadership, lambda: node.term, spread, Sender("x", world.clock, lambda: None))
+    workers = [WorkerModel(f"n-{i:06d}") for i in range(5)]
+    for _ in range(2):
+        answers = [door.checkin(msgspec.json.encode(w.report())) for w in workers]
+        assert [a.status for a in answers] == [200, 200, 200, 421, 421] and answers[-1].close
+        assert json.loads(answers[-1].body) == {}
+
+
+def test_one_that_cannot_pass_reports_on_sends_no_more_than_there_is_room_for() -> None:
+    """All at once they took the last sockets of a leader that had just come back."""
+    world, node, *_ = led()
+    node.term = None
+    others = [Other("leader", "a", True, 5, 2)]
+    spread = Spread("node-0", "a", 100, 3.0, world.clock, lambda: others)
+    spread.told(300)
+    sender = Sender("node-0", world.clock, lambda: None)
+    node.leadership.lose("told so")
+    door = WorkerDoor("node-0", node.leadership, lambda: node.term, spread, sender)
+    sent = Counter[str | None]()
+    for i in range(10):
+        worker = WorkerModel(f"n-{i:06d}")
+        spread.keep(worker.name)
+        answer = door.checkin(msgspec.json.encode(worker.report()))
+        assert answer.status == 421 and answer.close
+        sent[json.loads(answer.body).get("harborMaster")] += 1
+    assert sent == {"leader": 2, None: 8}
