--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -232,7 +232,11 @@
         names = {name: low for name, (low, _) in policy.VARIABLES.items()}
         names |= {"sockets": float(self.limits["sockets"]), "controllers": float(s.controllers)}
         shipped = policy.default()
-        return float(next(n for n in range(1, 100_000) if shipped.value("spread_reports", names | {"machines": n})))
+        low, high = 0, 100_000
+        while high - low > 1:
+            mid = (low + high) // 2
+            low, high = (low, mid) if shipped.value("spread_reports", names | {"machines": mid}) else (mid, high)
+        return float(high)
 
     def leader_core(self, s: Size) -> float:
         """What a leader spends that answers every report itself."""
