--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -888,11 +888,12 @@
          "up to 4, its workers' wait, then 1", f"{show(region / m.split['controllers'])} connections anew",
          "`relays/sender.py`", OPEN],
         ["a region apart for an hour", "0", "0: it has its own leader, state service and quota shares",
-         f"a try of the link at most each {LONGEST_S:g} s; gangs abroad wait for their news", "`federation/breaker.py`; open: quotas across regions",
-         WORKED_OUT],
-        ["state service of a region out", f"0 for {hold + lim['lease_s']:.0f} s; then all that runs: "
-         + show(m.sizes()[0].running), f"{hold:.1f} until nothing is answered, a lease more until it ends, then until it "
-         "is back", "none", "`leading/leadership.py`, `leading/knowledge.py`", WORKED_OUT],
+         f"a try of the link at most each {LONGEST_S:g} s; gangs abroad wait for their news",
+         "`federation/breaker.py`; open: quotas across regions", WORKED_OUT],
+        ["state service of a region out",
+         f"0 for {hold + lim['lease_s']:.0f} s; then all that runs: {show(m.sizes()[0].running)}",
+         f"{hold:.1f} until nothing is answered, a lease more until it ends, then until it is back", "none",
+         "`leading/leadership.py`, `leading/knowledge.py`", WORKED_OUT],
     ]  # fmt: skip
     yield from table(["failure", "starts again", "seconds until they may", "messages", "carried by", "state"], rows)
 
