--- a/src/grebestand/process/controller.py
+++ b/src/grebestand/process/controller.py
@@ -125,6 +125,7 @@
             settings.name, settings.zone, self.sockets.workers, p.workers.report_s, self.clock, self._answering,
             lambda: self.pressure.state is LoadState.OVERLOADED,
         )  # fmt: skip
+        self.spread.followers = len(settings.peers)
         self.sender = Sender(settings.name, self.clock, self._leading_peer)
         self.workers = WorkerDoor(settings.name, self.leadership, self._term, self.spread, self.sender)
         peers = []
--- a/src/grebestand/relays/spread.py
+++ b/src/grebestand/relays/spread.py
@@ -112,6 +112,8 @@
         #: when each worker that is kept here last reported, and over which connection
         self.kept: dict[str, tuple[float, object]] = {}
         self._over: dict[int, str] = {}
+        #: controllers beside the leader, whether they are heard or not
+        self.followers = 1
         #: workers that were sent away, and when
         self.sent: OrderedDict[str, float] = OrderedDict()
         #: how many were sent to each other controller since it last said what it keeps
@@ -216,7 +218,7 @@
         others = self.others()
         for other in others:
             if other.name == leader:
-                if self._underway[leader] >= max(FEW_SENT, other.room // len(others)):
+                if self._underway[leader] >= max(FEW_SENT, other.room // max(len(others), self.followers)):
                     return False
                 self._underway[leader] += 1
         return True
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -702,6 +702,10 @@
     leader = Other("leader", "a", True, 900, 240)
     world = Neighbours(leader, Other("far", "b", False, 0, 900), Other("near", "a", False, 0, 900))
     assert sum(world.spread.may_send("leader") for _ in range(300)) == 80
+    # at a start the others are not heard of yet, and send all the same
+    alone = Neighbours(leader)
+    alone.spread.followers = 5
+    assert sum(alone.spread.may_send("leader") for _ in range(300)) == 48
     world.spread.heard("leader")
     world.others[0] = Other("leader", "a", True, 1140, 0)
     assert sum(world.spread.may_send("leader") for _ in range(300)) == 20
