A rehearsal in this process gives the log its level back

Cause: a verb that leaves out all but errors left it so; in one process with tests/test_scale.py two stories of tests/test_steps.py found nothing in the log.

Change: the level holds for as long as the rehearsal does. Measured: both files in one process pass; before, two failed.

--- a/src/grebestand/commands/rehearse.py
+++ b/src/grebestand/commands/rehearse.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import argparse
+import contextlib
+import logging
 import signal
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import TypeVar
 
@@ -67,9 +69,19 @@
     return 0 if verdict.good else 1
 
 
-def _scale(arguments: argparse.Namespace) -> int:
-    import logging
+@contextlib.contextmanager
+def _errors_only() -> Iterator[None]:
+    """What controllers and stand-ins in this process log besides errors is left out for as long as they are played."""
+    logger = logging.getLogger("grebestand")
+    before = logger.level
+    logger.setLevel(logging.ERROR)
+    try:
+        yield
+    finally:
+        logger.setLevel(before)
+
 
+def _scale(arguments: argparse.Namespace) -> int:
     import gevent
     import msgspec
 
@@ -84,7 +96,6 @@
             "--rate above 0 and at most 10000, --seconds 5 to 3600", file=sys.stderr,
         )  # fmt: skip
         return 2
-    logging.getLogger("grebestand").setLevel(logging.ERROR)
     plan = Plan(
         workers=arguments.workers, controllers=arguments.controllers, teams=arguments.teams, rate=arguments.rate,
         seconds=arguments.seconds, seed=arguments.seed,
@@ -99,7 +110,8 @@
 
     for number in (signal.SIGINT, signal.SIGTERM):
         gevent.signal_handler(number, stop)
-    outcome = _played(lambda say, keep: rehearse(plan, say, keep), arguments.keep)
+    with _errors_only():
+        outcome = _played(lambda say, keep: rehearse(plan, say, keep), arguments.keep)
     if isinstance(outcome, int):
         return outcome
     if arguments.json:
@@ -135,12 +147,10 @@
         print(f"grebestand: rehearse: --clusters must be 2 to {most}, --load above 0 and at most 4", file=sys.stderr)
         return 2
     if arguments.name == "clusters":
-        import logging
-
         from ..rehearsal.many import simulate
 
-        logging.getLogger("grebestand").setLevel(logging.ERROR)
-        print(simulate(arguments.clusters, arguments.load, arguments.seed).row())
+        with _errors_only():
+            print(simulate(arguments.clusters, arguments.load, arguments.seed).row())
         return 0
     if not 1 <= arguments.gangs <= 10_000 or not 3 <= arguments.machines <= 200:
         print("grebestand: rehearse: --gangs must be 1 to 10000, --machines 3 to 200", file=sys.stderr)
