A leader that is late keeps its relays; what they have given up is broken off

Change: a relay leaves the leader alone only if it answers no greetings either; the leader breaks off a batch that has taken longer than its sender waits; its server takes as many connections of controllers as they may open, by the plan.

Ruled out: longer patience alone (the herd comes later); refusing reports at once (workers move on just the same).

--- a/src/grebestand/limits/sockets.py
+++ b/src/grebestand/limits/sockets.py
@@ -30,8 +30,10 @@
 class SocketPlan:
     """Counts of connections; together they stay within the quota."""
 
-    #: to all other controllers, and as many from them
+    #: to all other controllers
     peers: int
+    #: and from them: each may ask this one for what it cannot ask itself, and come again for what it has given up
+    from_peers: int
     direct: int
     #: of workers and users together, and beyond those that are answered once and closed
     serving: int
@@ -46,6 +48,7 @@
     most = quota.max_connections
     peers = others * (GREETINGS + BATCHES) + min(others, HELPERS) * RELAYED
     direct, turned_away, backlog = min(DIRECT, most // 12), min(TURNED_AWAY, most // 32), min(BACKLOG, most // 16)
-    reserved = STATE_REQUESTS + STATE_WATCHES + CLOUD + 2 * peers + direct + SPARE + turned_away + backlog
+    from_peers = others * (GREETINGS + RELAYED + BATCHES)
+    reserved = STATE_REQUESTS + STATE_WATCHES + CLOUD + peers + from_peers + direct + SPARE + turned_away + backlog
     serving = max(50, most - reserved)
-    return SocketPlan(peers, direct, serving, turned_away, backlog, serving - int(USERS * serving))
+    return SocketPlan(peers, from_peers, direct, serving, turned_away, backlog, serving - int(USERS * serving))
--- a/src/grebestand/process/controller.py
+++ b/src/grebestand/process/controller.py
@@ -579,7 +579,7 @@
     def serve(self) -> None:
         shares = self.sockets
         server = listen_bounded(self.settings.listen, "serve_on", self.app, shares, self.spread.ended)
-        listen(self.settings.peer_listen, "peer_listen", self.peers.app, max(64, shares.peers)).start()
+        listen(self.settings.peer_listen, "peer_listen", self.peers.app, max(64, shares.from_peers)).start()
         for extra in self.features.listeners:
             listen(extra.address, extra.field, extra.app, extra.connections, extra.gate).start()
         self.begin()
--- a/src/grebestand/relays/receiver.py
+++ b/src/grebestand/relays/receiver.py
@@ -17,7 +17,7 @@
 from ..wire.jobs import Malformed
 from ..wire.peers import Batch, Replies
 from ..wire.workers import Orders, Report
-from .sender import MOST_BYTES, MOST_REPORTS
+from .sender import MOST_BYTES, MOST_REPORTS, SEND_S
 
 log = logging.getLogger("grebestand.relays")
 
@@ -92,6 +92,7 @@
 
     def _take(self, bodies: list[bytes]) -> list[tuple[int, bytes]]:
         """Reads all, waits once for what their starts need, then answers all that it still may."""
+        came_at = self.clock()
         self.leadership.check_clock()
         self.wait()
         term = self.term()
@@ -104,6 +105,8 @@
             if self.clock() - since > SLICE_S:
                 gevent.sleep(0)
                 since = self.clock()
+            if since - came_at > SEND_S:
+                return answers  # whoever sent it has given it up: a leader that is late does nothing in vain
             try:
                 if len(body) > REPORT_BYTES:
                     raise Malformed("the report is too large")
@@ -119,6 +122,8 @@
             if self.clock() - since > SLICE_S:
                 gevent.sleep(0)
                 since = self.clock()
+            if since - came_at > SEND_S:
+                break
             orders = taken if taken is None or isinstance(taken, Orders) else term.finish_checkin(taken)
             if orders is not None:
                 answers[i] = 200, _json.encode(orders)
--- a/src/grebestand/relays/sender.py
+++ b/src/grebestand/relays/sender.py
@@ -164,8 +164,14 @@
         return told.answers
 
     def _failed(self, sent: float, leader: Peer) -> None:
-        """No answer. After a while workers are told to go to the leader themselves: they may reach it."""
+        """No answer. After a while workers are told to go to the leader themselves: they may reach it.
+
+        One that goes on answering greetings is reached, and late: sent to it or to others, all workers of all relays
+        would come to it anew, and it would be later still.
+        """
         self._failing_since = min(self._failing_since, sent)
+        if leader.heard_at >= self._failing_since:
+            return
         if self.state is PassageState.OPEN and self.clock() - self._failing_since >= DOWN_S:
             self._rests_until, self._rests_from = self.clock() + REST_S, term_of(leader)
             self._failing_since = math.inf
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -23,7 +23,7 @@
 from grebestand.outside.peer import Peer
 from grebestand.process.controller import Controller
 from grebestand.relays.receiver import Receiver, Refused
-from grebestand.relays.sender import ANSWER_S, DOWN_S, MOST_REPORTS, PATH, QUEUED_S, REST_S, Sender
+from grebestand.relays.sender import ANSWER_S, DOWN_S, MOST_REPORTS, PATH, QUEUED_S, REST_S, SEND_S, Sender
 from grebestand.relays.spread import BACK_S, Other, Spread, spread_on
 from grebestand.settings.platform import Quota
 from grebestand.standin.cluster import STATE, SimulatedCluster, Way
@@ -407,6 +407,36 @@
     assert sender.pass_on(b"report", loop.time) == (0, b"")  # nor is an answer to something else
 
 
+def test_a_leader_that_is_late_and_still_greets_keeps_its_relays(loop: VirtualLoop) -> None:
+    """At its whole share all relays left it alone at once; thousands of workers came anew, and it was later still."""
+
+    def late(batch: Batch) -> Replies:
+        gevent.sleep(1e6)
+        return echo(batch)
+
+    peer = Peer("node-0", Leader(late))
+    sender = Sender("node-1", lambda: loop.time, lambda: peer)
+    gevent.spawn(sender.run)
+    for _ in range(3):
+        asking = gevent.spawn(sender.pass_on, b"", loop.time)
+        gevent.sleep(1.5)
+        peer.heard_at = loop.time
+        assert asking.get() == (0, b"") and sender.open()
+
+
+def test_what_its_sender_has_given_up_is_not_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    world, _, term, receiver, workers = led()
+
+    def long(begun: object) -> None:
+        world.clock.now += SEND_S + 0.1
+        term.leadership.renew()
+
+    monkeypatch.setattr(term, "cover_checkins", long)
+    before = [m.given_at for m in term.fleet.machines]
+    assert asked(receiver, *(msgspec.json.encode(w.report()) for w in workers)) == [(503, b"")] * 3
+    assert [m.given_at for m in term.fleet.machines] == before
+
+
 def test_a_leader_that_is_gone_is_no_reason_to_leave_the_next_alone(loop: VirtualLoop) -> None:
     """Its workers were sent to the new leader for as long as the old one would have been left alone."""
 
@@ -621,7 +651,7 @@
 def test_all_sockets_together_stay_within_the_quota(quota: int, others: int) -> None:
     shares = plan(Quota(max_connections=quota), others)
     beyond = shares.turned_away + shares.backlog
-    assert shares.serving + beyond + 2 * shares.peers + shares.direct < quota
+    assert shares.serving + beyond + shares.peers + shares.from_peers + shares.direct < quota
     assert 0 < shares.workers < shares.serving
 
 
@@ -632,7 +662,7 @@
         surplus = bool(environ["grebestand.surplus"])
         return respond(Answer(503 if surplus else 200, b"{}", close=surplus), start)
 
-    server = listen_bounded("127.0.0.1:1", "here", app, SocketPlan(0, 0, 1, 2, 8, 1), on_end=ended.append)
+    server = listen_bounded("127.0.0.1:1", "here", app, SocketPlan(0, 0, 0, 1, 2, 8, 1), on_end=ended.append)
     server.address = ("127.0.0.1", 0)
     server.start()
     try:
