A leader that takes over is given longer; one with far too many workers sheds faster

Change: 6% of what it keeps, if that is more. Late while machines are not proved yet, a leader gives way after three times as long.

Ruled out: not giving way at all while machines are not proved (a controller that is eight times slower must).

--- a/src/grebestand/process/handover.py
+++ b/src/grebestand/process/handover.py
@@ -22,6 +22,8 @@
 OUTAGE_MARGIN_S = 1.5
 #: a leader that is overloaded for so long gives way, where somebody is not; the next time it waits longer
 SLOW_S = 6.0
+#: and so many times as long while machines are not proved yet
+TAKING_OVER = 3.0
 #: a peer that answered so long ago, in seconds, is there
 HEARD_S = 3.0
 #: users of a controller that the state service has not answered for so long are better off at others
@@ -162,7 +164,12 @@
     def check_pace(self) -> None:
         """A leader too late to answer its workers before their leases end lets one lead that is not."""
         load, now = self.load, self.clock()
-        if load.state is not LoadState.OVERLOADED or now - load.since < SLOW_S * (1 + self.slow_terms):
+        term = self.term()
+        patience = SLOW_S * (1 + self.slow_terms)
+        if term is not None and not term.proof.proved:
+            # whoever takes over is late with thousands of machines, and the next would begin with all of them again
+            patience *= TAKING_OVER
+        if load.state is not LoadState.OVERLOADED or now - load.since < patience:
             return
         for peer, last in self._heard(HEARD_S):
             if last.load == LoadState.NORMAL.value:
--- a/src/grebestand/relays/spread.py
+++ b/src/grebestand/relays/spread.py
@@ -26,7 +26,7 @@
 SHARE_FEW = 1
 #: the leader's share of the reports that come directly: it reads all the others too
 LEADER_WEIGHT = 0.85
-#: of its share, so many a second are sent away by one that has too many
+#: of its share, or of what it keeps if that is more, so many a second are sent away by one that has too many
 SHED_PER_S = 0.06
 #: one that came back so soon after it was sent away is kept, in seconds
 BACK_S = 15.0
@@ -244,7 +244,7 @@
     def _sheds(self, leads: bool, even: Even, others: list[Other]) -> bool:
         """Whether one that is kept here goes elsewhere: at a bounded rate, while there is far too much here."""
         now, share = self.clock(), even.workers(leads)
-        rate = SHED_PER_S * share + 1.0
+        rate = SHED_PER_S * max(share, float(len(self.kept))) + 1.0
         self._shed_left = min(rate, self._shed_left + rate * (now - self._shed_at))
         self._shed_at = now
         many = len(self.kept) > min(share * SHED_SLACK + SHARE_FEW, float(self.limit))
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -17,6 +17,7 @@
 from grebestand.outside.http import Unreachable
 from grebestand.outside.peer import Peer
 from grebestand.process.controller import Controller
+from grebestand.process.handover import SLOW_S, TAKING_OVER
 from grebestand.settings.platform import Quota
 from grebestand.standin.memory import SETTINGS, Clock, Node, World
 from grebestand.standin.worker import WorkerModel
@@ -150,6 +151,25 @@
         assert node.leadership.entitled() is stays
 
 
+def test_one_that_takes_over_is_given_longer_and_not_for_ever() -> None:
+    """With 2,600 machines it was late for seven seconds and gave way, and the next began with all of them again."""
+    world = World()
+    node = Node(world, "node-0")
+    term = node.lead()
+    peer = Peer("node-1", Gone())
+    handover = node.handover(peer)
+    term.proof.proved = False
+    node.load.felt(2.0)
+    begun = world.clock.now
+    while node.leadership.entitled() and world.clock.now - begun < 60.0:
+        world.clock.now += 0.5
+        node.leadership.renew()
+        node.load.felt(2.0)
+        peer.heard_at, peer.last = world.clock.now, Hello("node-1", 0, 0.1)
+        handover.check_pace()
+    assert world.clock.now - begun == pytest.approx(TAKING_OVER * SLOW_S, abs=0.6)
+
+
 def test_all_machines_back_at_once_are_all_answered_and_share_a_few_passes(monkeypatch: pytest.MonkeyPatch) -> None:
     """After a cut of a zone hundreds of reports come within a second; a pass for each would answer none in time."""
     world = World()
