--- a/review/standins/http1.py
+++ b/review/standins/http1.py
@@ -74,7 +74,7 @@
                 method, path, _ = first.split(" ", 2)
                 answer = await self.handle(method, path, body)
                 if answer is None:
-                    await asyncio.Event().wait()
+                    await reader.read()
                     return
                 status, response = answer
                 head = f"HTTP/1.1 {status} {REASONS.get(status, 'Other')}\r\nContent-Type: application/json\r\n"
--- a/review/standins/rules.py
+++ b/review/standins/rules.py
@@ -35,6 +35,7 @@
         done_at: When its user was first told that it is done.
         answers: All answers about it.
         completed: Indices of the tasks that some worker has completed.
+        places: By index of a task, since when it is on each machine.
     """
 
     spec: dict[str, Any]
@@ -46,6 +47,7 @@
     done_at: float | None = None
     answers: list[Told] = field(default_factory=list)
     completed: set[int] = field(default_factory=set)
+    places: dict[int, dict[str, float]] = field(default_factory=dict)
     starts: int = 0
 
 
@@ -92,7 +94,7 @@
         job_id, _, index = task.rpartition("/")
         job = self.jobs[job_id]
         job.starts += 1
-        places = self.on_machine.setdefault(task, {})
+        places = job.places.setdefault(int(index), self.on_machine.setdefault(task, {}))
         self.write(f"task {task} on {machine} ({zone})")
         if any(other != machine for other in places):
             self.break_rule("ran_twice", f"{task} starts on {machine} while it is on {sorted(places)}")
@@ -114,12 +116,7 @@
     def _check_place(self, job: JobHistory, index: int, machine: str, zone: str, hull: str, spot: bool) -> None:
         spec = job.spec
         name = f"{spec['ref']}/{index}"
-        zones = [
-            self.zone_of[m]
-            for i in range(spec["shards"])
-            for m in self.on_machine.get(f"{spec['ref']}/{i}", {})
-            if i != index
-        ]
+        zones = [self.zone_of[m] for i, places in job.places.items() if i != index for m in places]
         wrong = (
             (spec.get("hulls") and hull not in spec["hulls"])
             or (spec.get("quay") and zone != spec["quay"])
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import resource
 import signal
 import sys
 from collections.abc import Awaitable, Callable
@@ -12,6 +13,8 @@
 
 from .cluster import CaseError, Cluster
 
+#: Open files that the stand-ins of a case may need.
+OPEN_FILES = 4000
 #: No case runs longer, in seconds.
 LIMIT_S = 112.0
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -29,6 +32,8 @@
         if task is not None:
             asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     try:
+        if resource.getrlimit(resource.RLIMIT_NOFILE)[0] < OPEN_FILES:
+            raise CaseError(f"a process may open fewer than {OPEN_FILES} files here")
         async with Cluster(site, seed=int(os.environ.get("SEED", "1")), record=str(folder / "record.txt")) as cluster:
             cluster.rules.write(f"disruption: {'yes' if trouble else 'no'}")
             try:
