--- a/review/standins/cluster.py
+++ b/review/standins/cluster.py
@@ -76,11 +76,24 @@
 }  # fmt: skip
 
 
-def free_port() -> int:
-    """Return a loopback port that is free at the moment."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+class Ports:
+    """Free loopback ports, each kept bound until the end, so that nobody else gets it before its server listens."""
+
+    def __init__(self) -> None:
+        self._sockets: list[socket.socket] = []
+
+    def take(self) -> str:
+        """Return an address with a free port, on which another process may listen."""
+        keeper = socket.socket()
+        keeper.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        keeper.bind((HOST, 0))
+        self._sockets.append(keeper)
+        return f"{HOST}:{keeper.getsockname()[1]}"
+
+    def close(self) -> None:
+        """Give all ports up."""
+        for keeper in self._sockets:
+            keeper.close()
 
 
 def toml_table(name: str, values: dict[str, Any]) -> str:
@@ -101,7 +114,10 @@
         self.cloud = Cloud(site["flavor"], site["cloud"], self.rng)
         self.fleet = Fleet(self.rules, site["workers"], site["flavor"], self.rng)
         self.links: dict[tuple[str, str], Relay] = {}
+        #: The last process of each controller, and all processes that were started.
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._started: list[subprocess.Popen[bytes]] = []
+        self.ports = Ports()
         self.directory = tempfile.TemporaryDirectory(prefix="review-")
         self.cloud.delete = self.fleet.remove
         self.cloud.boot = self._boot
@@ -113,8 +129,8 @@
     async def __aenter__(self) -> Cluster:
         await self.state.start(self.nodes)
         await self.cloud.start()
-        peers = {node: f"{HOST}:{free_port()}" for node in self.nodes}
-        self.fleet.nodes = {node: f"{HOST}:{free_port()}" for node in self.nodes}
+        peers = {node: self.ports.take() for node in self.nodes}
+        self.fleet.nodes = {node: self.ports.take() for node in self.nodes}
         for source in self.nodes:
             for target in self.nodes:
                 if source != target:
@@ -126,12 +142,15 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        for node in self.nodes:
-            self.kill(node)
         for task in self._tasks:
             task.cancel()
+        for process in self._started:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
         for worker in list(self.fleet.workers.values()):
             worker.end("end of the run")
+        self.ports.close()
         self.directory.cleanup()
 
     def _write_settings(self, node: str, index: int, peers: dict[str, str]) -> None:
@@ -165,6 +184,7 @@
             [*self.command, settings], cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log, env=environment
         )
         log.close()
+        self._started.append(self.processes[node])
         self.rules.write(f"node {node} starts")
 
     def signal_node(self, node: str, number: signal.Signals) -> None:
@@ -181,6 +201,12 @@
             self.signal_node(node, signal.SIGKILL)
             process.wait()
 
+    def check_processes(self) -> None:
+        """Check that every controller that was started and not killed still runs."""
+        for node, process in self.processes.items():
+            if process.poll() is not None and process.returncode != -signal.SIGKILL:
+                raise CaseError(f"{node} ended with status {process.returncode}")
+
     def log_of(self, node: str) -> str:
         """Return what a controller has logged."""
         return (Path(self.directory.name) / f"{node}.log").read_text(errors="replace")
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -38,6 +38,7 @@
             cluster.rules.write(f"disruption: {'yes' if trouble else 'no'}")
             try:
                 await asyncio.wait_for(play(cluster, trouble=trouble), LIMIT_S)
+                cluster.check_processes()
             finally:
                 cluster.write_logs()
             broken = cluster.rules.broken
