--- a/review/standins2/case.py
+++ b/review/standins2/case.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import os
 import random
 import shlex
+import signal
 import subprocess
-import sys
 import tempfile
 import time
 import tomllib
@@ -17,11 +16,12 @@
 
 from . import web
 from .cloud import Cloud
-from .site import Site, write_settings
+from .site import Site, reserve_ports, write_settings
 from .state import StateService
 from .workers import Fleet, Machine
 
 ROOT = Path(__file__).resolve().parents[2]
+CONTROLLERS = 3
 READY_TIMEOUT_S = 20.0
 SUBMIT_TIMEOUT_S, POLL_TIMEOUT_S, RETRY_S, GIVE_UP_S = 5.0, 2.0, 1.0, 60.0
 POLL_INTERVAL_S = 5.0
@@ -55,6 +55,7 @@
         self.cloud = Cloud(self.fleet)
         self._record = open(folder / "record.txt", "w", encoding="utf-8")  # noqa: SIM115 - closed by __aexit__
         self._directory = tempfile.TemporaryDirectory(prefix="case-")
+        self._ports = reserve_ports(2 * CONTROLLERS)
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._waiting_since: dict[str, float] = {}
         self.longest_wait: dict[str, float] = {}
@@ -77,7 +78,8 @@
         await self.state.start()
         await self.cloud.start()
         directory = Path(self._directory.name)
-        self.fleet.controllers = write_settings(self.site, directory, self.cloud.address, self.state.address)
+        ports = [reserved.getsockname()[1] for reserved in self._ports]
+        self.fleet.controllers = write_settings(self.site, directory, self.cloud.address, self.state.address, ports)
         for name in self.fleet.controllers:
             self.start_controller(name)
         return self
@@ -102,6 +104,8 @@
             for name in self._processes:
                 log = Path(self._directory.name) / f"{name}.log"
                 Path(os.environ["KEEP_LOGS"], f"{name}.log").write_bytes(log.read_bytes())
+        for reserved in self._ports:
+            reserved.close()
         self._directory.cleanup()
         self._record.close()
 
@@ -312,16 +316,22 @@
 def main(play: Any, folder: Path, site: Site) -> None:
     """Run a case, and exit with 1 if a rule was broken, 0 if it held, and 2 if the case could not run."""
 
-    async def run() -> int:
+    async def run() -> None:
+        this = asyncio.current_task()
+        assert this is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this.cancel)  # ends the controllers as well
         async with Case(folder, site) as case:
             try:
                 broken = await play(case)
+                code = 1 if broken else 0
+                case.note(f"broken: {', '.join(broken)}" if broken else "the rule held")
             except CannotRunError as error:
+                code = 2
                 case.note(f"could not run: {error}")
-                return 2
-            case.note(f"broken: {', '.join(broken)}" if broken else "the rule held")
-            return 1 if broken else 0
+        # The processes are ended and the files closed; what is left are open connections of the stand-ins.
+        os._exit(code)
 
-    with contextlib.suppress(KeyboardInterrupt):
-        sys.exit(asyncio.run(run()))
-    sys.exit(2)
+    try:
+        asyncio.run(run())
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        os._exit(2)  # as above
--- a/review/standins2/site.py
+++ b/review/standins2/site.py
@@ -87,30 +87,41 @@
     )  # fmt: skip
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports of loopback that are not in use, from below the range that the system hands out by itself."""
-    ports: list[int] = []
+def reserve_ports(count: int) -> list[socket.socket]:
+    """Return sockets that keep free ports of loopback from others, below the range that the system hands out itself.
+
+    A server that sets SO_REUSEADDR, as controllers do, can still listen on such a port.
+    """
+    reserved: list[socket.socket] = []
     rng = random.Random()
-    while len(ports) < count:
-        port = rng.randrange(*PORT_RANGE)
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-        if port not in ports:
-            ports.append(port)
-    return ports
+    while len(reserved) < count:
+        probe = socket.socket()
+        try:
+            probe.bind((HOST, rng.randrange(*PORT_RANGE)))
+        except OSError:
+            probe.close()
+            continue
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.append(probe)
+    return reserved
 
 
 def _value(number: float) -> str:
     return str(number) if isinstance(number, int) else repr(float(number))
 
 
-def write_settings(site: Site, directory: Path, cloud: str, state: str, nodes: int = 3) -> dict[str, str]:
-    """Write a settings file for each controller into a directory; return the address of each for users and workers."""
+def write_settings(site: Site, directory: Path, cloud: str, state: str, ports: list[int]) -> dict[str, str]:
+    """Write a settings file for each controller into a directory; return the address of each for users and workers.
+
+    Args:
+        site: The deployment.
+        directory: Where to write the files.
+        cloud: Address of the cloud.
+        state: Address of the state service.
+        ports: Two free ports for each controller.
+    """
+    nodes = len(ports) // 2
     names = [f"berth-{i}" for i in range(nodes)]
-    ports = free_ports(2 * nodes)
     serve = {name: f"{HOST}:{port}" for name, port in zip(names, ports[:nodes], strict=True)}
     peers = {name: f"{HOST}:{port}" for name, port in zip(names, ports[nodes:], strict=True)}
     zone = {name: site.zones[i % len(site.zones)] for i, name in enumerate(names)}
