--- a/review/standins2/case.py
+++ b/review/standins2/case.py
@@ -234,6 +234,7 @@
                 and job["ramGb"] <= free_gb
                 and (job["driftwood"] or not machine.spot)
                 and job["quay"] in (None, machine.zone)
+                and (job["hulls"] is None or machine.kind.name in job["hulls"])
                 and not (job["samePlace"] and zones and machine.zone not in zones)
                 and machine.recall_at is None
                 and not machine.sick
--- a/review/standins2/site.py
+++ b/review/standins2/site.py
@@ -53,6 +53,13 @@
     skew_ms: float
     spot_notice_s: float
     addresses: dict[str, tuple[str, str]] = field(default_factory=dict)
+    #: Further machine types that the cloud offers.
+    other_types: tuple[MachineType, ...] = ()
+
+    @property
+    def machine_types(self) -> tuple[MachineType, ...]:
+        """All machine types that the cloud offers."""
+        return (self.machine_type, *self.other_types)
 
 
 def detaxe_casa() -> Site:
--- a/review/standins2/workers.py
+++ b/review/standins2/workers.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from . import web
-from .site import Site
+from .site import MachineType, Site
 
 STEP_S = 0.05
 REPORT_TIMEOUT_S = 4.0
@@ -65,6 +65,7 @@
     zone: str
     spot: bool
     fleet: Fleet
+    kind: MachineType
     addr: str = ""
     watch: int = 1
     tally: int = 0
@@ -87,7 +88,7 @@
 
     def free(self, except_job: str | None = None) -> tuple[float, float]:
         """Return the CPUs and gigabytes that tasks leave free, those that fetch included; one job's may be left out."""
-        kind = self.fleet.site.machine_type
+        kind = self.kind
         jobs = [task.job for task in self.present if task.job is not None and task.job["ref"] != except_job]
         return kind.cpus - sum(j["cpus"] for j in jobs), kind.memory_gb - sum(j["ramGb"] for j in jobs)
 
@@ -96,7 +97,7 @@
         self.tally += 1
         recall = None if self.recall_at is None else max(0.0, self.recall_at - time.monotonic())
         return {
-            "vessel": self.name, "addr": self.addr, "hull": self.fleet.site.machine_type.name, "quay": self.zone,
+            "vessel": self.name, "addr": self.addr, "hull": self.kind.name, "quay": self.zone,
             "driftwood": self.spot, "watch": self.watch, "tally": self.tally, "helm": self.helm, "recallS": recall,
             "shards": [task.entry() for task in self.tasks.values()],
         }  # fmt: skip
@@ -134,7 +135,7 @@
         elif free_cpus < -1e-9 or free_gb < -1e-9:
             self._exit(task, "no_room")
         else:
-            rate = self.fleet.site.machine_type.fetch_gb_per_s
+            rate = self.kind.fetch_gb_per_s
             fetch_s = 0.0 if job["cargo"] in self.images else job["pullGb"] / rate
             task.ends_at = time.monotonic() + fetch_s
 
@@ -225,9 +226,9 @@
         """Return the machines that are there."""
         return [machine for machine in self.machines.values() if not machine.gone]
 
-    async def add(self, zone: str, spot: bool) -> Machine:
-        """Add a machine that is up."""
-        machine = Machine(f"n-{self._next:06}", zone, spot, self)
+    async def add(self, zone: str, spot: bool, kind: MachineType | None = None) -> Machine:
+        """Add a machine that is up, of the site's own type unless another is given."""
+        machine = Machine(f"n-{self._next:06}", zone, spot, self, kind or self.site.machine_type)
         self._next += 1
 
         async def direct(method: str, path: str, body: Any) -> tuple[int, Any] | None:
