--- a/review/6/play.py
+++ b/review/6/play.py
@@ -1,4 +1,4 @@
-"""A one-zone array that loses a spot machine stops and keeps out work in a zone in which it can't run."""
+"""A machine is kept for the one type of task that it runs, and a job of another type never gets its room."""
 
 from __future__ import annotations
 
@@ -23,19 +23,19 @@
             await case.fleet.add(zone, spot=True)
     case.fleet.start()
     await case.wait_until_ready()
-    await case.submit("j-000001", 600.0, shards=2, cpus=12.0, ramGb=12.0, samePlace=True, rank="standard")
-    bound = lambda: case.tasks_on("j-000001")  # noqa: E731 - a condition
-    await case.until(lambda: len(bound()) == 2, 10.0, "the one-zone array runs")
-    await case.submit("j-000002", 600.0, shards=3, cpus=16.0, ramGb=12.0, rank="critical", crew=site.teams[1].name)
-    await case.until(lambda: len(case.tasks_on("j-000002")) == 3, 10.0, "the urgent array runs")
+    await case.submit("j-000001", 600.0, shards=4, cpus=16.0, ramGb=51.0, crew=site.teams[1].name)
+    await case.until(lambda: len(case.tasks_on("j-000001")) == 4, 10.0, "the large tasks run")
+    await case.submit("j-000002", 300.0, cpus=2.0, ramGb=4.8, rank="best_effort", crew=site.teams[2].name)
+    await case.until(lambda: case.tasks_on("j-000002"), 10.0, "the long task runs")
+    await asyncio.sleep(1.0)
     if case.trouble:
-        taken = next(iter(bound().values()))
+        taken = next(machine for machine in case.fleet.alive() if not machine.present)
         case.note(f"{taken.name} in {taken.zone} gets its notice")
         taken.recall_at, taken.changed = time.monotonic() + NOTICE_S, True
         await asyncio.sleep(NOTICE_S + 0.2)
     case.trouble_over_at = time.monotonic()
     case.note("the trouble is over")
-    await case.submit("j-000003", 10.0, shards=4, cpus=8.0, ramGb=2.0, rank="best_effort", crew=site.teams[2].name)
+    await case.submit("j-000003", 10.0, shards=6, ramGb=2.9, rank="best_effort", crew=site.teams[3].name)
     return await case.watch_waits(["j-000003"], END_S)
 
 
--- a/review/standins2/case.py
+++ b/review/standins2/case.py
@@ -279,6 +279,39 @@
             self.note(f"longest wait of {ref} beside room: {wait_s:.1f} s")
         return broken
 
+    async def watch_start(self, ref: str, zone: str, until_s: float) -> list[str]:
+        """Watch a job of one task that is bound to a zone; return it if nothing is done for it after the trouble.
+
+        That is so if, for 90 s and until the end of the play, its task has not been on a machine, no machine has been
+        asked for in its zone, and the cloud would have given one at any time.
+
+        Args:
+            ref: The job's id.
+            zone: The only zone that the job allows.
+            until_s: When to end.
+        """
+        assert self.trouble_over_at is not None
+        task = f"{ref}/0"
+        while self.now() < until_s:
+            if task in self.fleet.done:
+                self.note(f"{task} is done")
+                return []
+            if any(
+                task.name.startswith(f"{ref}/") for m in self.fleet.alive() if not m.recall_at for task in m.present
+            ):
+                self.trouble_over_at = time.monotonic()
+            await asyncio.sleep(SAMPLE_S)
+        waited_s = time.monotonic() - self.trouble_over_at
+        idle = [m for m in self.fleet.alive() if m.zone != zone and not m.present]
+        self.note(
+            f"{ref} has waited for {waited_s:.1f} s; asked for since the trouble: {self.cloud.asked}; left to rent in "
+            f"{zone}: {self.cloud.capacity[zone]}; idle in other zones: {len(idle)}"
+        )
+        if waited_s < LONGEST_WAIT_S or self.cloud.asked.get(zone) or not self.cloud.capacity[zone]:
+            return []
+        self.note(f"BROKEN {ref} is not run, and no machine is rented for it")
+        return [ref]
+
     def used_by(self, crew: str) -> float:
         """Return the CPUs of a team's tasks that are present on machines."""
         return sum(
--- a/review/standins2/workers.py
+++ b/review/standins2/workers.py
@@ -59,6 +59,8 @@
         sick: Whether every task that starts here fails.
         failed: How many tasks have failed here.
         gone: Whether the machine has been deleted or taken.
+        rented_at: When the machine was rented, or None if it was there from the beginning.
+        up_at: When it is up.
     """
 
     name: str
@@ -75,6 +77,8 @@
     sick: bool = False
     failed: int = 0
     gone: bool = False
+    rented_at: float | None = None
+    up_at: float = 0.0
     tasks: dict[tuple[str, int], Task] = field(default_factory=dict)
     images: set[str] = field(default_factory=set)
     changed: bool = True
@@ -223,8 +227,9 @@
         self._servers: list[asyncio.Server] = []
 
     def alive(self) -> list[Machine]:
-        """Return the machines that are there."""
-        return [machine for machine in self.machines.values() if not machine.gone]
+        """Return the machines that are up."""
+        now = time.monotonic()
+        return [machine for machine in self.machines.values() if not machine.gone and machine.up_at <= now]
 
     async def add(self, zone: str, spot: bool, kind: MachineType | None = None) -> Machine:
         """Add a machine that is up, of the site's own type unless another is given."""
@@ -232,7 +237,7 @@
         self._next += 1
 
         async def direct(method: str, path: str, body: Any) -> tuple[int, Any] | None:
-            if machine.gone:
+            if machine.gone or machine.up_at > time.monotonic():
                 return None
             if path == "/show":
                 return 200, machine.report()
@@ -248,6 +253,21 @@
         self.machines[machine.name] = machine
         return machine
 
+    async def rent(self, zone: str) -> Machine:
+        """Add an ordinary machine that comes up after the boot time that the cloud states."""
+        machine = await self.add(zone, spot=False)
+        machine.rented_at = time.monotonic()
+        machine.up_at = machine.rented_at + machine.kind.boot_s
+        self._loops.append(asyncio.create_task(self._boot(machine)))
+        return machine
+
+    async def _boot(self, machine: Machine) -> None:
+        await asyncio.sleep(machine.kind.boot_s)
+        machine.began_at = time.monotonic()
+        if not machine.gone:
+            self.record("up", machine.name, machine.zone, 0, "")
+        await self._report(machine)
+
     def start(self) -> None:
         """Start the workers."""
         for machine in self.machines.values():
